--- /dev/null
+++ b/src/wisteriatiller/config.py
@@ -0,0 +1,145 @@
+"""The configuration of the services, as every host holds it.
+
+A ``Configuration`` is immutable and carries its revision. ``configtext`` reads one
+from the operators' text; ``record`` and ``from_record`` turn it into the value that
+the store and the peers carry.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import cached_property
+
+from .ids import NO_REVISION, Address, Revision, ServiceId, UpstreamId, ZoneId
+from .placement import PlacementTable
+
+DEFAULT_SHARD_COUNT = 16
+MAX_EARLIER_TABLES = 16
+
+
+class RequestMode(Enum):
+    """How much of a service's traffic the balancer reads."""
+
+    COAP = "coap"
+    OPAQUE = "opaque"
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One upstream of a service."""
+
+    upstream_id: UpstreamId
+    service_id: ServiceId
+    address: Address
+    zone: ZoneId
+    slots: int
+    weight: float = 1.0
+    drain: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service and the upstreams that serve it."""
+
+    service_id: ServiceId
+    address: Address
+    mode: RequestMode
+    upstreams: Mapping[UpstreamId, Upstream]
+    depends_on: tuple[ServiceId, ...] = ()
+    deadline_ms: int = 2000
+    flow_idle_s: int = 300
+    slow_start_s: int = 10
+    objective: float = 0.999
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierTable:
+    """The upstreams of a service as they were up to a later revision."""
+
+    revision: Revision
+    upstreams: tuple[Upstream, ...]
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """All services at one revision, with the earlier tables of each."""
+
+    revision: Revision = NO_REVISION
+    services: Mapping[ServiceId, Service] = field(default_factory=dict)
+    shard_count: int = DEFAULT_SHARD_COUNT
+    earlier: Mapping[ServiceId, tuple[EarlierTable, ...]] = field(default_factory=dict)
+    text: str = ""
+
+    @cached_property
+    def service_by_address(self) -> dict[Address, Service]:
+        return {service.address: service for service in self.services.values()}
+
+    @cached_property
+    def upstreams(self) -> dict[UpstreamId, Upstream]:
+        """Every upstream, also those that only an earlier table still names."""
+        known = {
+            upstream.upstream_id: upstream
+            for tables in self.earlier.values()
+            for table in reversed(tables)
+            for upstream in table.upstreams
+        }
+        for service in self.services.values():
+            known.update(service.upstreams)
+        return known
+
+    @cached_property
+    def upstream_by_address(self) -> dict[Address, Upstream]:
+        return {upstream.address: upstream for upstream in self.upstreams.values()}
+
+    @cached_property
+    def tables(self) -> dict[ServiceId, PlacementTable]:
+        return {
+            service_id: placement_table(service.upstreams.values())
+            for service_id, service in self.services.items()
+        }
+
+    @cached_property
+    def earlier_tables(self) -> dict[ServiceId, tuple[PlacementTable, ...]]:
+        """Earlier placement tables of each service, the latest first."""
+        return {
+            service_id: tuple(placement_table(table.upstreams) for table in tables)
+            for service_id, tables in self.earlier.items()
+        }
+
+    def takes_new_flows(self, upstream_id: UpstreamId) -> bool:
+        """Whether the upstream is in the current text and not draining."""
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is None or upstream.drain:
+            return False
+        service = self.services.get(upstream.service_id)
+        return service is not None and upstream_id in service.upstreams
+
+
+def placement_table(upstreams) -> PlacementTable:
+    """The table of the upstreams that are not draining."""
+    return PlacementTable(
+        (upstream.upstream_id, upstream.weight)
+        for upstream in sorted(upstreams, key=lambda item: item.upstream_id)
+        if not upstream.drain
+    )
+
+
+def next_earlier(
+    former: Configuration, services: Mapping[ServiceId, Service]
+) -> dict[ServiceId, tuple[EarlierTable, ...]]:
+    """The earlier tables of a configuration that follows ``former``.
+
+    A service whose placement table changes gets its former table put in front; at
+    most ``MAX_EARLIER_TABLES`` are kept.
+    """
+    earlier = {}
+    for service_id, service in services.items():
+        tables = former.earlier.get(service_id, ())
+        old = former.services.get(service_id)
+        if old is not None:
+            new_table = placement_table(service.upstreams.values())
+            if placement_table(old.upstreams.values()) != new_table:
+                kept = EarlierTable(former.revision, tuple(old.upstreams.values()))
+                tables = (kept, *tables)[:MAX_EARLIER_TABLES]
+        earlier[service_id] = tables
+    return earlier
--- /dev/null
+++ b/src/wisteriatiller/environment.py
@@ -0,0 +1,27 @@
+"""The central object: settings and ports of one host."""
+
+from dataclasses import dataclass, field
+
+from .ports import (
+    Clock,
+    DatagramPorts,
+    LoopClock,
+    Metrics,
+    PeerPort,
+    RandomSource,
+    Store,
+)
+from .settings import HostSettings
+
+
+@dataclass(slots=True)
+class Environment:
+    """What every module of a host shares."""
+
+    settings: HostSettings
+    datagrams: DatagramPorts
+    peers: PeerPort
+    store: Store
+    metrics: Metrics
+    clock: Clock = field(default_factory=LoopClock)
+    random: RandomSource = field(default_factory=RandomSource)
--- /dev/null
+++ b/src/wisteriatiller/membership.py
@@ -0,0 +1,69 @@
+"""Which hosts are live, and the small values that hosts gossip."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from .ids import Address, HostId, ZoneId
+from .settings import HostSettings
+
+GossipListener = Callable[[str, int, object], None]
+
+
+class Membership(ABC):
+    """The hosts of the system as this host sees them."""
+
+    @abstractmethod
+    def live_hosts(self, zone: ZoneId) -> tuple[HostId, ...]:
+        """Live hosts of the zone that are not leaving, this one included."""
+
+    @abstractmethod
+    def is_live(self, host_id: HostId) -> bool:
+        """Whether the host answers probes; a leaving host still counts."""
+
+    @abstractmethod
+    def address_of(self, host_id: HostId) -> Address | None: ...
+
+    @abstractmethod
+    def publish(self, key: str, version: int, value: object) -> None:
+        """Gossip a value; a higher version replaces a lower one on every host."""
+
+    @abstractmethod
+    def value(self, key: str) -> tuple[int, object] | None:
+        """The version and value known for the key."""
+
+    @abstractmethod
+    def subscribe(self, prefix: str, listener: GossipListener) -> None:
+        """Call ``listener(key, version, value)`` for each newer value under prefix."""
+
+
+class StaticMembership(Membership):
+    """Every seed counts as live; values stay on this host."""
+
+    def __init__(self, settings: HostSettings):
+        self._hosts = {seed.host_id: seed for seed in settings.seeds}
+        self._values: dict[str, tuple[int, object]] = {}
+        self._listeners: list[tuple[str, GossipListener]] = []
+
+    def live_hosts(self, zone):
+        return tuple(h for h, seed in self._hosts.items() if seed.zone == zone)
+
+    def is_live(self, host_id):
+        return host_id in self._hosts
+
+    def address_of(self, host_id):
+        seed = self._hosts.get(host_id)
+        return seed.address if seed else None
+
+    def publish(self, key, version, value):
+        if key in self._values and self._values[key][0] >= version:
+            return
+        self._values[key] = (version, value)
+        for prefix, listener in self._listeners:
+            if key.startswith(prefix):
+                listener(key, version, value)
+
+    def value(self, key):
+        return self._values.get(key)
+
+    def subscribe(self, prefix, listener):
+        self._listeners.append((prefix, listener))
--- /dev/null
+++ b/src/wisteriatiller/outcomes.py
@@ -0,0 +1,88 @@
+"""Outcomes of operations that may fail in an expected way.
+
+An operation returns either its result or one of the sentinel values below, each with
+a reason::
+
+    outcome = queue.offer(request)
+    if isinstance(outcome, Refused):
+        answer_not_run(request, outcome)
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from .ids import HostId, Revision, UpstreamId
+
+
+class Reason(Enum):
+    """Why an operation did not succeed."""
+
+    DEADLINE = "deadline"
+    QUEUE_FULL = "queue_full"
+    DEPENDENCY = "dependency"
+    DRAINING = "draining"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_DOWN = "upstream_down"
+    UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    NO_LEASE = "no_lease"
+    NO_BACKUP = "no_backup"
+    NO_OWNER = "no_owner"
+    FLOW_LOST = "flow_lost"
+    CLAIM_UNANSWERED = "claim_unanswered"
+    TIMEOUT = "timeout"
+    STOPPING = "stopping"
+    OWNER_CHANGED = "owner_changed"
+    CANCELLED = "cancelled"
+    STORE = "store"
+    CONFLICT = "conflict"
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was not run and will not be; the caller may come back later."""
+
+    reason: Reason
+    retry_after_s: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The request may have run; it will not be run again."""
+
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Redirected:
+    """The flow is placed on another upstream."""
+
+    upstream_id: UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class NotOwner:
+    """This host does not own the upstream; ``owner`` does, if it is known."""
+
+    owner: HostId | None
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No answer came from the peer within the time allowed."""
+
+    reason: Reason = Reason.TIMEOUT
+
+
+@dataclass(frozen=True, slots=True)
+class StoreUnavailable:
+    """The store did not answer; a write may still have taken effect."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Another writer changed the value first."""
+
+    winning_revision: Revision
--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, the demo and the benchmarks."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests by theme; ``run_all`` runs every check of the project."""
