--- a/src/wisteriatiller/placement.py
+++ b/src/wisteriatiller/placement.py
@@ -22,7 +22,7 @@
     def __init__(self, weights: Iterable[tuple[UpstreamId, float]]):
         self.weights = tuple(weights)
         self._seeds = [
-            (xxh3_64_intdigest(upstream_id), upstream_id, weight)
+            (xxh3_64_intdigest(upstream_id.encode()), upstream_id, weight)
             for upstream_id, weight in self.weights
             if weight > 0
         ]
@@ -67,14 +67,14 @@
     """Order hosts for ``key`` by rendezvous hashing, best first."""
     return sorted(
         host_ids,
-        key=lambda host_id: (xxh64_intdigest(f"{key}|{host_id}"), host_id),
+        key=lambda host_id: (xxh64_intdigest(f"{key}|{host_id}".encode()), host_id),
         reverse=True,
     )
 
 
 def shard_of(upstream_id: UpstreamId, zone: ZoneId, shard_count: int) -> ShardId:
     """The ownership shard of an upstream."""
-    return ShardId(zone, xxh64_intdigest(upstream_id) % shard_count)
+    return ShardId(zone, xxh64_intdigest(upstream_id.encode()) % shard_count)
 
 
 def earlier_homes(
