--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -1,6 +1,7 @@
 """Run every check of the project and print one closing line.
 
-The checks are the formatter, the linter, the behave features and the smoke test of the packaged binary. The last line is ``N passed, N failed``.
+The checks are the formatter, the linter, the smoke test of the packaged binary and
+the behave features. The last line is ``N passed, N failed``.
 """
 
 import json
@@ -37,8 +38,8 @@
     """Count the scenarios of the behave features."""
     with tempfile.TemporaryDirectory() as directory:
         report = Path(directory) / "behave.json"
-        command = [sys.executable, "-m", "behave", "--no-capture", "-f", "progress"]
-        command += ["-f", "json", "-o", str(report), "tests"]
+        command = [sys.executable, "-m", "behave", "-f", "json"]
+        command += ["-o", str(report), "-f", "progress", "tests"]
         status = subprocess.run(command, cwd=ROOT).returncode
         features = json.loads(report.read_text()) if report.exists() else []
     scenarios = [
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -11,24 +11,24 @@
 
 @given("a placement table of {count:d} upstreams")
 def given_table(context, count):
-    context.table = PlacementTable((f"u{i}", 1.0) for i in range(count))
+    context.placement = PlacementTable((f"u{i}", 1.0) for i in range(count))
 
 
 @given("a placement table with weights {first:g} and {second:g}")
 def given_weighted_table(context, first, second):
-    context.table = PlacementTable((("a", first), ("b", second)))
+    context.placement = PlacementTable((("a", first), ("b", second)))
 
 
 @when("the last upstream is drained")
 def when_drained(context):
-    context.drained = context.table.weights[-1][0]
-    context.after = PlacementTable(context.table.weights[:-1])
+    context.drained = context.placement.weights[-1][0]
+    context.after = PlacementTable(context.placement.weights[:-1])
 
 
 @then("of {count:d} flows only those of the drained upstream have a new home")
 def then_only_drained_move(context, count):
     for key in flow_keys(count):
-        before = context.table.home(key)
+        before = context.placement.home(key)
         moved = before != context.after.home(key)
         assert moved == (before == context.drained), key
 
@@ -38,14 +38,14 @@
     "within {delta:g}"
 )
 def then_share(context, count, percent, delta):
-    hits = sum(context.table.home(key) == "b" for key in flow_keys(count))
+    hits = sum(context.placement.home(key) == "b" for key in flow_keys(count))
     assert abs(hits * 100 / count - percent) <= delta, hits
 
 
 @then("the earlier homes of {count:d} flows name the drained upstream once or nothing")
 def then_earlier_homes(context, count):
-    earlier = [context.table, context.after, context.table]
+    earlier = [context.placement, context.after, context.placement]
     for key in flow_keys(count):
-        moved = context.table.home(key) == context.drained
+        moved = context.placement.home(key) == context.drained
         expected = [context.drained] if moved else []
         assert earlier_homes(key, context.after, earlier) == expected, key
