--- /dev/null
+++ b/src/wisteriatiller/coapcodec.py
@@ -0,0 +1,99 @@
+"""Reading and building CoAP messages (RFC 7252) with aiocoap's codec."""
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+import aiocoap
+from aiocoap.error import Error as CoapError
+
+from .exceptions import MessageError
+from .outcomes import OutcomeUnknown, Refused
+
+MAX_MAX_AGE_S = 3600
+_IDEMPOTENT_CODES = frozenset((aiocoap.GET, aiocoap.FETCH))
+
+
+class MessageType(Enum):
+    """The four message types of RFC 7252."""
+
+    CON = 0
+    NON = 1
+    ACK = 2
+    RST = 3
+
+
+@dataclass(frozen=True, slots=True)
+class CoapHead:
+    """The parts of a message that the balancer acts on."""
+
+    message_type: MessageType
+    code: int
+    message_id: int
+    token: bytes
+    max_age_s: int | None = None
+
+    @property
+    def is_request(self) -> bool:
+        return 1 <= self.code < 32
+
+    @property
+    def is_response(self) -> bool:
+        return self.code >= 64
+
+    @property
+    def is_idempotent(self) -> bool:
+        return self.code in _IDEMPOTENT_CODES
+
+    @property
+    def is_refusal(self) -> bool:
+        """5.03 Service Unavailable: the upstream did not start the request."""
+        return self.code == aiocoap.SERVICE_UNAVAILABLE
+
+
+def read_head(payload: bytes) -> CoapHead:
+    """Decode a message; raise ``MessageError`` if it is not valid CoAP."""
+    try:
+        message = aiocoap.Message.decode(payload)
+    except (CoapError, ValueError, IndexError, KeyError) as error:
+        raise MessageError(f"undecodable CoAP message: {error!r}") from error
+    return CoapHead(
+        MessageType(int(message.mtype)),
+        int(message.code),
+        message.mid,
+        message.token,
+        message.opt.max_age,
+    )
+
+
+def refusal(head: CoapHead, outcome: Refused) -> bytes:
+    """5.03 with Max-Age: the request was not run, come back later."""
+    return _response(
+        head,
+        aiocoap.SERVICE_UNAVAILABLE,
+        f"not run: {outcome.reason.value}",
+        outcome.retry_after_s,
+    )
+
+
+def outcome_unknown(head: CoapHead, outcome: OutcomeUnknown) -> bytes:
+    """5.04: the request may have run and will not be run again."""
+    return _response(
+        head,
+        aiocoap.GATEWAY_TIMEOUT,
+        f"outcome unknown: {outcome.reason.value}",
+        outcome.retry_after_s,
+    )
+
+
+def _response(head: CoapHead, code, diagnostic: str, max_age_s: float) -> bytes:
+    confirmable = head.message_type is MessageType.CON
+    message = aiocoap.Message(
+        code=code,
+        payload=diagnostic.encode(),
+        _mtype=aiocoap.ACK if confirmable else aiocoap.NON,
+        _mid=head.message_id,
+        _token=head.token,
+    )
+    message.opt.max_age = min(MAX_MAX_AGE_S, max(1, math.ceil(max_age_s)))
+    return message.encode()
--- a/src/wisteriatiller/config.py
+++ b/src/wisteriatiller/config.py
@@ -5,13 +5,23 @@
 the store and the peers carry.
 """
 
-from collections.abc import Mapping
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import cached_property
 
-from .ids import NO_REVISION, Address, Revision, ServiceId, UpstreamId, ZoneId
-from .placement import PlacementTable
+from .ids import (
+    NO_REVISION,
+    Address,
+    HostId,
+    Revision,
+    ServiceId,
+    ShardId,
+    UpstreamId,
+    ZoneId,
+)
+from .placement import PlacementTable, shard_of
 
 DEFAULT_SHARD_COUNT = 16
 MAX_EARLIER_TABLES = 16
@@ -106,6 +116,9 @@
             for service_id, tables in self.earlier.items()
         }
 
+    def shard_of(self, upstream: Upstream) -> ShardId:
+        return shard_of(upstream.upstream_id, upstream.zone, self.shard_count)
+
     def takes_new_flows(self, upstream_id: UpstreamId) -> bool:
         """Whether the upstream is in the current text and not draining."""
         upstream = self.upstreams.get(upstream_id)
@@ -143,3 +156,21 @@
                 tables = (kept, *tables)[:MAX_EARLIER_TABLES]
         earlier[service_id] = tables
     return earlier
+
+
+class ConfigSource(ABC):
+    """Where a host's modules read the configuration in force."""
+
+    @property
+    @abstractmethod
+    def configuration(self) -> Configuration: ...
+
+    @abstractmethod
+    def subscribe(self, listener: Callable[[Configuration], None]) -> None:
+        """Call ``listener`` with each newer configuration."""
+
+    @abstractmethod
+    async def catch_up(
+        self, host_id: HostId, revision: Revision, timeout_s: float
+    ) -> bool:
+        """Pull from a host that has ``revision``; True if it is now in force."""
--- /dev/null
+++ b/src/wisteriatiller/flows.py
@@ -0,0 +1,73 @@
+"""The flows that the owner of an ownership shard knows."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from .ids import FlowKey, UpstreamId
+
+
+class FlowState(Enum):
+    """Where a flow is, seen from one ownership shard."""
+
+    OPEN = "open"
+    ELSEWHERE = "elsewhere"
+    LOST = "lost"
+
+
+@dataclass(slots=True)
+class FlowRecord:
+    """One flow.
+
+    ``OPEN``: on an upstream of this shard. ``ELSEWHERE``: placed on, or released to,
+    an upstream of another shard. ``LOST``: its upstream died; it is not placed again
+    until the record expires. Until ``uncertain_until_s``, a request of the flow may
+    have run under an owner whose records this host does not have.
+    """
+
+    state: FlowState
+    upstream_id: UpstreamId
+    last_seen_s: float
+    uncertain_until_s: float = 0.0
+
+
+class FlowTable:
+    """Flow records of one shard, with counts of open flows for each upstream."""
+
+    def __init__(self):
+        self._records: dict[FlowKey, FlowRecord] = {}
+        self._open_counts: dict[UpstreamId, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[tuple[FlowKey, FlowRecord]]:
+        return iter(self._records.items())
+
+    def get(self, flow_key: FlowKey) -> FlowRecord | None:
+        return self._records.get(flow_key)
+
+    def open_count(self, upstream_id: UpstreamId) -> int:
+        return self._open_counts.get(upstream_id, 0)
+
+    def put(self, flow_key: FlowKey, record: FlowRecord) -> None:
+        self.remove(flow_key)
+        self._records[flow_key] = record
+        if record.state is FlowState.OPEN:
+            self._count(record.upstream_id, 1)
+
+    def remove(self, flow_key: FlowKey) -> None:
+        record = self._records.pop(flow_key, None)
+        if record is not None and record.state is FlowState.OPEN:
+            self._count(record.upstream_id, -1)
+
+    def idle(self, now_s: float, idle_s: float) -> list[FlowKey]:
+        """Keys of the records not used for ``idle_s``."""
+        return [
+            flow_key
+            for flow_key, record in self._records.items()
+            if now_s - record.last_seen_s > idle_s
+        ]
+
+    def _count(self, upstream_id: UpstreamId, change: int) -> None:
+        self._open_counts[upstream_id] = self.open_count(upstream_id) + change
--- /dev/null
+++ b/src/wisteriatiller/ingress.py
@@ -0,0 +1,138 @@
+"""The ingress: takes callers' datagrams from the fabric and finds their owner."""
+
+from dataclasses import dataclass
+
+from . import proxyheader
+from .config import ConfigSource, Configuration, RequestMode
+from .environment import Environment
+from .exceptions import MessageError
+from .flowmessages import Forward, PinFlow
+from .ids import Address, FlowKey, HostId, UpstreamId
+from .owner import Owner
+from .ports import DatagramPort
+
+# The pin of an opaque flow is confirmed through its owner this often, so that the
+# owner's record does not idle out while datagrams bypass the owner.
+PIN_REFRESH_S = 30.0
+MAX_PINS = 200_000
+
+
+@dataclass(slots=True)
+class Pin:
+    """Where an ingress sends the datagrams of a flow."""
+
+    upstream_id: UpstreamId
+    address: Address
+    idle_s: float
+    refresh_at_s: float
+    last_used_s: float
+
+
+class Ingress:
+    """Hashes flows to upstreams and caches what owners decided otherwise."""
+
+    def __init__(self, environment: Environment, source: ConfigSource, owner: Owner):
+        self.fabric_port: DatagramPort | None = None
+        self.upstream_port: DatagramPort | None = None
+        self._environment = environment
+        self._host_id = environment.settings.host_id
+        self._source = source
+        self._owner = owner
+        self._pins: dict[bytes, Pin] = {}
+        self._next_return = 0
+        source.subscribe(self._drop_pins_of_removed)
+        owner.pin_flow = self.pin
+        environment.peers.register(PinFlow, self._handle_pin)
+
+    def receive(self, data: bytes, address: Address) -> None:
+        """Take a datagram of the fabric."""
+        try:
+            header, payload = proxyheader.split(data)
+            pin = self._fresh_pin(header)
+            if pin is not None and self._send_direct(pin, data):
+                return
+            self._to_owner(header, payload, pin)
+        except MessageError:
+            self._environment.metrics.count("ingress.bad_datagrams")
+
+    def answer(self, flow_key: FlowKey, payload: bytes) -> None:
+        """Send a payload to the caller of a flow through the fabric."""
+        header = proxyheader.make_header(proxyheader.reversed_key(flow_key))
+        returns = self._environment.settings.fabric_return
+        self._next_return = (self._next_return + 1) % len(returns)
+        self.fabric_port.send(header + payload, returns[self._next_return])
+
+    def pin(self, flow_key: FlowKey, upstream_id: UpstreamId) -> None:
+        """Remember on which upstream a flow is open."""
+        configuration = self._source.configuration
+        upstream = configuration.upstreams.get(upstream_id)
+        if upstream is None or upstream.service_id not in configuration.services:
+            return
+        if len(self._pins) >= MAX_PINS:
+            self._pins.pop(next(iter(self._pins)))
+        now_s = self._environment.clock.now_s()
+        idle_s = configuration.services[upstream.service_id].flow_idle_s
+        header = proxyheader.make_header(flow_key)
+        self._pins.pop(header, None)
+        self._pins[header] = Pin(
+            upstream_id, upstream.address, idle_s, now_s + PIN_REFRESH_S, now_s
+        )
+
+    def _fresh_pin(self, header: bytes) -> Pin | None:
+        """The pin of a flow, unless the flow has been idle for too long."""
+        pin = self._pins.get(header)
+        if pin is None:
+            return None
+        now_s = self._environment.clock.now_s()
+        if now_s - pin.last_used_s > pin.idle_s:
+            del self._pins[header]
+            return None
+        pin.last_used_s = now_s
+        return pin
+
+    def _send_direct(self, pin: Pin, data: bytes) -> bool:
+        """Send straight to the upstream of an opaque flow with a fresh pin."""
+        if self._environment.clock.now_s() >= pin.refresh_at_s:
+            return False
+        upstream = self._source.configuration.upstreams.get(pin.upstream_id)
+        service = upstream and self._source.configuration.services.get(
+            upstream.service_id
+        )
+        if service is None or service.mode is not RequestMode.OPAQUE:
+            return False
+        self.upstream_port.send(data, pin.address)
+        return True
+
+    def _to_owner(self, header: bytes, payload: bytes, pin: Pin | None) -> None:
+        flow_key = proxyheader.flow_key(header)
+        configuration = self._source.configuration
+        service = configuration.service_by_address.get(
+            proxyheader.destination(flow_key)
+        )
+        if service is None:
+            raise MessageError("unknown service address")
+        home = configuration.tables[service.service_id].home(flow_key)
+        upstream_id = pin.upstream_id if pin is not None else home
+        if upstream_id is None:
+            # Every upstream drains; the owner of any of them refuses new flows.
+            upstream_id = next(iter(service.upstreams))
+        forward = Forward(
+            flow_key,
+            upstream_id,
+            configuration.revision,
+            self._host_id,
+            pin is not None,
+            0,
+            0,
+            payload,
+        )
+        self._owner.receive(self._host_id, forward)
+
+    def _handle_pin(self, sender: HostId, message: PinFlow) -> None:
+        self.pin(FlowKey(message.flow_key), UpstreamId(message.upstream_id))
+
+    def _drop_pins_of_removed(self, configuration: Configuration) -> None:
+        known = configuration.upstreams
+        for header, pin in list(self._pins.items()):
+            if pin.upstream_id not in known:
+                del self._pins[header]
--- a/src/wisteriatiller/outcomes.py
+++ b/src/wisteriatiller/outcomes.py
@@ -51,6 +51,7 @@
     """The request may have run; it will not be run again."""
 
     reason: Reason
+    retry_after_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wisteriatiller/owner.py
@@ -0,0 +1,521 @@
+"""The owner: serves the requests of the ownership shards that this host leases."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from . import coapcodec, proxyheader
+from .config import ConfigSource, Configuration, RequestMode, Service, Upstream
+from .dispatch import UpstreamDispatcher
+from .duplicates import EXCHANGE_LIFETIME_S
+from .environment import Environment
+from .exceptions import MessageError, check_invariant
+from .flowmessages import (
+    CheckAnswer,
+    CheckFlows,
+    ClaimAnswer,
+    ClaimFlow,
+    Forward,
+    OpenAnswer,
+    OpenFlow,
+    PinFlow,
+)
+from .flows import FlowRecord, FlowState
+from .health import PROBE_INTERVAL_S, UpstreamHealth
+from .ids import Address, CallerId, FlowKey, HostId, Revision, ShardId, UpstreamId
+from .lease import ShardLeases
+from .membership import Membership
+from .opening import FlowOpener
+from .outcomes import OutcomeUnknown, Reason, Refused
+from .ownership import Ownership
+from .ports import DatagramPort
+from .shard import OwnedShard
+
+MAX_HOPS = 5
+# A request that finds no owner is tried again for this long: a planned hand-over
+# takes less, and a failover takes longer than a caller should be kept waiting.
+OWNER_WAIT_S = 1.0
+OWNER_RETRY_S = 0.05
+CATCH_UP_TIMEOUT_S = 0.3
+SWEEP_INTERVAL_S = 5.0
+CHECK_BATCH = 500
+CHECK_TIMEOUT_S = 1.0
+
+AnswerCaller = Callable[[FlowKey, bytes], None]
+
+
+class Owner:
+    """Routes forwarded datagrams to flows, and flows to upstreams."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        membership: Membership,
+        ownership: Ownership,
+        leases: ShardLeases,
+        source: ConfigSource,
+        opener: FlowOpener,
+        answer: AnswerCaller,
+    ):
+        self.shards: dict[ShardId, OwnedShard] = {}
+        self.upstream_port: DatagramPort | None = None
+        self.pin_flow: Callable[[FlowKey, UpstreamId], None] = lambda key, to: None
+        self._environment = environment
+        self._host_id = environment.settings.host_id
+        self._membership = membership
+        self._ownership = ownership
+        self._leases = leases
+        self._source = source
+        self._opener = opener
+        self._answer = answer
+        self._tasks: set[asyncio.Task] = set()
+        peers = environment.peers
+        peers.register(Forward, self.receive)
+        peers.register(ClaimFlow, self._handle_claim)
+        peers.register(OpenFlow, self._handle_open)
+        peers.register(CheckFlows, self._handle_check)
+
+    # Shards
+
+    def acquire(self, shard: ShardId, epoch: int) -> OwnedShard:
+        """Start serving a shard whose lease this host now holds."""
+        owned = self.shards.get(shard)
+        if owned is None:
+            owned = self.shards[shard] = OwnedShard(shard, self._leases)
+        self._ownership.publish_owner(shard, epoch)
+        return owned
+
+    def lose(self, shard: ShardId) -> None:
+        """Stop serving a shard."""
+        self.shards.pop(shard, None)
+
+    # Datagrams of callers
+
+    def receive(self, sender: HostId, forward: Forward) -> None:
+        """Take a caller's datagram from an ingress or another owner."""
+        if forward.revision > self._source.configuration.revision:
+            self._spawn(self._receive_newer(sender, forward))
+        else:
+            self._route(forward)
+
+    async def _receive_newer(self, sender: HostId, forward: Forward) -> None:
+        await self._source.catch_up(
+            sender, Revision(forward.revision), CATCH_UP_TIMEOUT_S
+        )
+        self._route(forward)
+
+    def _route(self, forward: Forward) -> None:
+        configuration = self._source.configuration
+        upstream = configuration.upstreams.get(UpstreamId(forward.upstream_id))
+        service = self._service_of(forward, configuration)
+        if upstream is None or service is None:
+            self._give_up(forward, Reason.NO_UPSTREAM)
+            return
+        check_invariant(
+            upstream.service_id == service.service_id,
+            "flow_stays_in_service",
+            upstream=upstream.upstream_id,
+            service=service.service_id,
+        )
+        owned = self.shards.get(configuration.shard_of(upstream))
+        if owned is None or owned.lease_remaining_s() <= 0:
+            self._pass_to_owner(forward, configuration.shard_of(upstream))
+            return
+        record = owned.flows.get(FlowKey(forward.flow_key))
+        if record is None:
+            self._open(owned, forward, service, upstream)
+        else:
+            self._use(owned, forward, service, record)
+
+    def _use(
+        self,
+        owned: OwnedShard,
+        forward: Forward,
+        service: Service,
+        record: FlowRecord,
+    ) -> None:
+        record.last_seen_s = self._now_s()
+        if record.state is FlowState.ELSEWHERE:
+            self._relay(replace(forward, upstream_id=record.upstream_id))
+            return
+        if record.state is FlowState.LOST:
+            self._refuse(forward, Refused(Reason.FLOW_LOST))
+            return
+        if service.mode is RequestMode.OPAQUE or record.upstream_id != (
+            self._source.configuration.tables[service.service_id].home(
+                FlowKey(forward.flow_key)
+            )
+        ):
+            self._pin(forward, record.upstream_id)
+        self._serve(owned, forward, service, record)
+
+    def _serve(self, owned, forward, service, record: FlowRecord) -> None:
+        upstream = self._source.configuration.upstreams[record.upstream_id]
+        flow_key = FlowKey(forward.flow_key)
+        if service.mode is RequestMode.OPAQUE:
+            self._send(upstream, proxyheader.make_header(flow_key) + forward.payload)
+            return
+        dispatcher = self._dispatcher(owned, upstream)
+        try:
+            if self._may_have_run(record, dispatcher, forward):
+                return
+            dispatcher.handle(flow_key, caller_of(flow_key), forward.payload)
+        except MessageError:
+            self._environment.metrics.count("owner.bad_payloads")
+
+    def _may_have_run(self, record, dispatcher, forward) -> bool:
+        """Answer "outcome unknown" where an earlier owner's records are missing."""
+        if self._now_s() >= record.uncertain_until_s:
+            return False
+        head = coapcodec.read_head(forward.payload)
+        if not head.is_request or head.is_idempotent:
+            return False
+        if dispatcher.knows(FlowKey(forward.flow_key), head):
+            return False
+        dispatcher.answer_unknown(FlowKey(forward.flow_key), head, Reason.OWNER_CHANGED)
+        return True
+
+    # Opening
+
+    def _open(
+        self,
+        owned: OwnedShard,
+        forward: Forward,
+        service: Service,
+        upstream: Upstream,
+    ) -> None:
+        flow_key = FlowKey(forward.flow_key)
+        if forward.pinned:
+            self._put_open(owned, flow_key, upstream.upstream_id)
+            self._route(forward)
+            return
+        home = self._source.configuration.tables[service.service_id].home(flow_key)
+        if home is None:
+            self._refuse(forward, Refused(Reason.NO_UPSTREAM))
+        elif home != upstream.upstream_id:
+            self._relay(replace(forward, upstream_id=home))
+        elif flow_key in owned.opening:
+            owned.opening[flow_key].append(forward)
+        else:
+            self._open_at_home(owned, forward, service)
+
+    def _open_at_home(self, owned, forward: Forward, service: Service) -> None:
+        flow_key = FlowKey(forward.flow_key)
+        if not self._opener.needs_peers(forward, service):
+            chosen = self._opener.choose(forward, service)
+            if self._is_local(owned, chosen):
+                self._put_open(owned, flow_key, chosen)
+                self._route(forward)
+                return
+        owned.opening[flow_key] = [forward]
+        self._spawn(self._open_with_peers(owned, forward, service))
+
+    async def _open_with_peers(self, owned, forward: Forward, service: Service) -> None:
+        flow_key = FlowKey(forward.flow_key)
+        outcome = await self._decide(owned, forward, service)
+        waiting = owned.opening.pop(flow_key)
+        if isinstance(outcome, OutcomeUnknown):
+            for item in waiting:
+                self._answer_unknown(item, outcome)
+            return
+        if owned.flows.get(flow_key) is None:
+            if self._is_local(owned, outcome):
+                self._put_open(owned, flow_key, outcome)
+            else:
+                self._put_elsewhere(owned, flow_key, outcome)
+        for item in waiting:
+            self._route(item)
+
+    async def _decide(
+        self, owned: OwnedShard, forward: Forward, service: Service
+    ) -> UpstreamId | OutcomeUnknown:
+        open_on = await self._opener.find_open(forward, service)
+        if open_on is not None:
+            return open_on
+        chosen = self._opener.choose(forward, service)
+        if self._is_local(owned, chosen):
+            return chosen
+        if await self._opener.open_away(forward, chosen):
+            return chosen
+        return UpstreamId(forward.upstream_id)
+
+    def _is_local(self, owned: OwnedShard, upstream_id: UpstreamId) -> bool:
+        configuration = self._source.configuration
+        upstream = configuration.upstreams[upstream_id]
+        return configuration.shard_of(upstream) == owned.shard
+
+    def _put_open(self, owned, flow_key: FlowKey, upstream_id: UpstreamId) -> None:
+        record = FlowRecord(
+            FlowState.OPEN, upstream_id, self._now_s(), owned.uncertain_until_s
+        )
+        owned.flows.put(flow_key, record)
+
+    def _put_elsewhere(self, owned, flow_key: FlowKey, upstream_id) -> None:
+        record = FlowRecord(FlowState.ELSEWHERE, upstream_id, self._now_s())
+        owned.flows.put(flow_key, record)
+
+    # Questions of other owners
+
+    def _handle_claim(self, sender: HostId, claim: ClaimFlow) -> ClaimAnswer:
+        owned = self._owned(UpstreamId(claim.earlier_home))
+        flow_key = FlowKey(claim.flow_key)
+        if owned is None or flow_key in owned.opening:
+            return ClaimAnswer(False, "")
+        record = owned.flows.get(flow_key)
+        if record is None:
+            self._put_elsewhere(owned, flow_key, UpstreamId(claim.new_home))
+            return ClaimAnswer(True, "")
+        if record.upstream_id == claim.new_home:
+            return ClaimAnswer(True, "")
+        return ClaimAnswer(True, record.upstream_id)
+
+    def _handle_open(self, sender: HostId, message: OpenFlow) -> OpenAnswer:
+        upstream_id = UpstreamId(message.upstream_id)
+        owned = self._owned(upstream_id)
+        if owned is None or owned.stopping:
+            return OpenAnswer(False)
+        if not self._source.configuration.takes_new_flows(upstream_id):
+            return OpenAnswer(False)
+        record = owned.flows.get(FlowKey(message.flow_key))
+        if record is None or record.state is not FlowState.OPEN:
+            self._put_open(owned, FlowKey(message.flow_key), upstream_id)
+        return OpenAnswer(True)
+
+    def _handle_check(self, sender: HostId, message: CheckFlows) -> CheckAnswer:
+        owned = self._owned(UpstreamId(message.upstream_id))
+        if owned is None:
+            return CheckAnswer(False, ())
+        open_keys = tuple(
+            flow_key
+            for flow_key in message.flow_keys
+            if owned.flows.get(FlowKey(flow_key)) is not None
+        )
+        return CheckAnswer(True, open_keys)
+
+    def _owned(self, upstream_id: UpstreamId) -> OwnedShard | None:
+        configuration = self._source.configuration
+        upstream = configuration.upstreams.get(upstream_id)
+        if upstream is None:
+            return None
+        owned = self.shards.get(configuration.shard_of(upstream))
+        if owned is None or owned.lease_remaining_s() <= 0:
+            return None
+        return owned
+
+    # Datagrams of upstreams
+
+    def receive_from_upstream(self, data: bytes, address: Address) -> None:
+        """Take a datagram that an upstream sent to this host."""
+        try:
+            header, payload = proxyheader.split(data)
+            configuration = self._source.configuration
+            upstream = configuration.upstream_by_address.get(address)
+            if upstream is None:
+                raise MessageError(f"datagram from unknown upstream {address}")
+            if header[12] == proxyheader.COMMAND_LOCAL:
+                self._probe_answer(upstream, header)
+            else:
+                self._response(upstream, header, payload)
+        except MessageError:
+            self._environment.metrics.count("owner.bad_upstream_datagrams")
+
+    def _probe_answer(self, upstream: Upstream, header: bytes) -> None:
+        owned = self._owned(upstream.upstream_id)
+        local = proxyheader.parse(header)
+        if owned is not None and isinstance(local, proxyheader.LocalHeader):
+            self._dispatcher(owned, upstream).health.handle_probe_answer(local)
+
+    def _response(self, upstream: Upstream, header: bytes, payload: bytes) -> None:
+        flow_key = proxyheader.reversed_key(proxyheader.flow_key(header))
+        service = self._source.configuration.service_by_address.get(
+            proxyheader.destination(flow_key)
+        )
+        if service is None or upstream.service_id != service.service_id:
+            raise MessageError("answer of another service's upstream")
+        if service.mode is RequestMode.OPAQUE:
+            self._answer(flow_key, payload)
+            return
+        shard = self._source.configuration.shard_of(upstream)
+        owned = self.shards.get(shard)
+        if owned is not None and upstream.upstream_id in owned.dispatchers:
+            owned.dispatchers[upstream.upstream_id].handle_response(flow_key, payload)
+
+    # Sending
+
+    def _relay(self, forward: Forward) -> None:
+        """Route a datagram on to another upstream's owner, which may be this host."""
+        configuration = self._source.configuration
+        if forward.hops >= MAX_HOPS:
+            self._give_up(forward, Reason.NO_OWNER)
+            return
+        forward = replace(
+            forward, hops=forward.hops + 1, revision=configuration.revision
+        )
+        self._route(forward)
+
+    def _pass_to_owner(self, forward: Forward, shard: ShardId) -> None:
+        owner = self._ownership.owner(shard)
+        if owner is not None and owner != self._host_id and forward.hops < MAX_HOPS:
+            self._environment.peers.send(owner, replace(forward, hops=forward.hops + 1))
+        elif forward.age_ms < OWNER_WAIT_S * 1000:
+            age_ms = forward.age_ms + int(OWNER_RETRY_S * 1000)
+            later = replace(forward, age_ms=age_ms, hops=0)
+            asyncio.get_running_loop().call_later(OWNER_RETRY_S, self._route, later)
+        else:
+            self._give_up(forward, Reason.NO_OWNER)
+
+    def _pin(self, forward: Forward, upstream_id: UpstreamId) -> None:
+        if forward.pinned and forward.upstream_id == upstream_id:
+            return
+        if forward.ingress == self._host_id:
+            self.pin_flow(FlowKey(forward.flow_key), upstream_id)
+        else:
+            message = PinFlow(forward.flow_key, upstream_id)
+            self._environment.peers.send(HostId(forward.ingress), message)
+
+    def _send(self, upstream: Upstream, data: bytes) -> None:
+        check_invariant(self.upstream_port is not None, "upstream_port_is_open")
+        self.upstream_port.send(data, upstream.address)
+
+    def _give_up(self, forward: Forward, reason: Reason) -> None:
+        """Answer a request for which this host cannot say that it did not run.
+
+        Without the owner's records, an earlier copy of the request may have run.
+        """
+        self._answer_unknown(forward, OutcomeUnknown(reason))
+
+    def _refuse(self, forward: Forward, outcome: Refused) -> None:
+        self._answer_request(forward, lambda head: coapcodec.refusal(head, outcome))
+
+    def _answer_unknown(self, forward: Forward, outcome: OutcomeUnknown) -> None:
+        self._answer_request(
+            forward, lambda head: coapcodec.outcome_unknown(head, outcome)
+        )
+
+    def _answer_request(self, forward: Forward, build) -> None:
+        service = self._service_of(forward, self._source.configuration)
+        if service is None or service.mode is RequestMode.OPAQUE:
+            self._environment.metrics.count("owner.dropped_datagrams")
+            return
+        try:
+            head = coapcodec.read_head(forward.payload)
+        except MessageError:
+            self._environment.metrics.count("owner.bad_payloads")
+            return
+        if head.is_request:
+            self._answer(FlowKey(forward.flow_key), build(head))
+
+    # Upkeep
+
+    async def probe_upstreams(self) -> None:
+        """Probe every upstream of the owned shards until cancelled."""
+        while True:
+            for owned in list(self.shards.values()):
+                for upstream in self._upstreams_of(owned.shard):
+                    dispatcher = self._dispatcher(owned, upstream)
+                    self._send(upstream, dispatcher.health.probe())
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def sweep(self) -> None:
+        """Expire idle flows and old request records until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            for owned in list(self.shards.values()):
+                owned.duplicates.expire(self._now_s())
+                await self._expire_flows(owned)
+
+    async def _expire_flows(self, owned: OwnedShard) -> None:
+        configuration = self._source.configuration
+        now_s = self._now_s()
+        elsewhere: dict[UpstreamId, list[FlowKey]] = {}
+        for flow_key, record in list(owned.flows):
+            idle_s = self._idle_limit_s(configuration, record)
+            if now_s - record.last_seen_s <= idle_s:
+                continue
+            if record.state is FlowState.ELSEWHERE:
+                elsewhere.setdefault(record.upstream_id, []).append(flow_key)
+            else:
+                owned.flows.remove(flow_key)
+        for upstream_id, flow_keys in elsewhere.items():
+            for start in range(0, len(flow_keys), CHECK_BATCH):
+                batch = flow_keys[start : start + CHECK_BATCH]
+                await self._expire_elsewhere(owned, upstream_id, batch)
+
+    async def _expire_elsewhere(self, owned, upstream_id, flow_keys) -> None:
+        """Drop records of flows that their upstream's owner no longer has open."""
+        configuration = self._source.configuration
+        upstream = configuration.upstreams.get(upstream_id)
+        if upstream is None:
+            for flow_key in flow_keys:
+                owned.flows.remove(flow_key)
+            return
+        owner = self._ownership.owner(configuration.shard_of(upstream))
+        if owner is None:
+            return
+        message = CheckFlows(upstream_id, tuple(flow_keys))
+        answer = await self._environment.peers.call(owner, message, CHECK_TIMEOUT_S)
+        if not isinstance(answer, CheckAnswer) or not answer.owned:
+            return
+        still_open = set(answer.open_keys)
+        now_s = self._now_s()
+        for flow_key in flow_keys:
+            record = owned.flows.get(flow_key)
+            if record is None:
+                continue
+            if flow_key in still_open:
+                record.last_seen_s = now_s
+            else:
+                owned.flows.remove(flow_key)
+
+    def _idle_limit_s(self, configuration: Configuration, record: FlowRecord) -> float:
+        if record.state is FlowState.LOST:
+            return EXCHANGE_LIFETIME_S
+        upstream = configuration.upstreams.get(record.upstream_id)
+        service = upstream and configuration.services.get(upstream.service_id)
+        return service.flow_idle_s if service else EXCHANGE_LIFETIME_S
+
+    def _upstreams_of(self, shard: ShardId) -> list[Upstream]:
+        configuration = self._source.configuration
+        return [
+            upstream
+            for upstream in configuration.upstreams.values()
+            if upstream.zone == shard.zone
+            and configuration.shard_of(upstream) == shard
+            and upstream.service_id in configuration.services
+        ]
+
+    def _dispatcher(self, owned: OwnedShard, upstream: Upstream) -> UpstreamDispatcher:
+        dispatcher = owned.dispatchers.get(upstream.upstream_id)
+        if dispatcher is None:
+            service = self._source.configuration.services[upstream.service_id]
+            dispatcher = UpstreamDispatcher(
+                self._environment,
+                service,
+                upstream,
+                owned.duplicates,
+                owned,
+                UpstreamHealth(self._environment, upstream.upstream_id),
+                lambda data: self._send(upstream, data),
+                self._answer,
+            )
+            owned.dispatchers[upstream.upstream_id] = dispatcher
+        return dispatcher
+
+    def _service_of(
+        self, forward: Forward, configuration: Configuration
+    ) -> Service | None:
+        destination = proxyheader.destination(FlowKey(forward.flow_key))
+        return configuration.service_by_address.get(destination)
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _now_s(self) -> float:
+        return self._environment.clock.now_s()
+
+
+def caller_of(flow_key: FlowKey) -> CallerId:
+    """Callers are told apart by IP number; a caller may have many flows."""
+    return CallerId(proxyheader.source(flow_key).ip)
--- a/src/wisteriatiller/proxyheader.py
+++ b/src/wisteriatiller/proxyheader.py
@@ -27,6 +27,7 @@
 
 SIGNATURE = b"\r\n\r\n\x00\r\nQUIT\n"
 PREFIX_BYTES = 16
+COMMAND_LOCAL = 0x20
 IPV4_BLOCK_BYTES = 12
 IPV6_BLOCK_BYTES = 36
 DGRAM_IPV4 = 0x12
@@ -93,6 +94,21 @@
     )
 
 
+def source(key: FlowKey) -> Address:
+    """The caller's address."""
+    size = 4 if len(key) == IPV4_BLOCK_BYTES else 16
+    port = int.from_bytes(key[2 * size : 2 * size + 2], "big")
+    return Address(str(ip_address(key[:size])), port)
+
+
+def destination(key: FlowKey) -> Address:
+    """The service's address."""
+    size = 4 if len(key) == IPV4_BLOCK_BYTES else 16
+    return Address(
+        str(ip_address(key[size : 2 * size])), int.from_bytes(key[-2:], "big")
+    )
+
+
 def with_deadline(header: bytes, deadline_ms: int) -> bytes:
     """Append the deadline, in milliseconds of the upstream's clock."""
     return _with_tlv(header, _TLV_U64.pack(TLV_DEADLINE, 8, deadline_ms))
