--- /dev/null
+++ b/tests/steps/peers_steps.py
@@ -0,0 +1,227 @@
+"""Steps for messages between hosts."""
+
+import asyncio
+from dataclasses import replace
+
+from behave import given, then, when
+from tornado.iostream import IOStream
+
+from tests.fakes import PEER_KEY, FakeNetwork, run_virtual
+from wisteriatiller.datagrams import UdpPorts
+from wisteriatiller.exceptions import InvariantBroken
+from wisteriatiller.ids import Address
+from wisteriatiller.messages import Message, encode, message
+from wisteriatiller.metrics import NullMetrics
+from wisteriatiller.outcomes import Unreachable
+from wisteriatiller.peers import TcpPeers
+
+LOOPBACK = Address("127.0.0.1", 0)
+OLDER_KEY = b"the key before the present one"
+
+
+@message(250)
+class Echo(Message):
+    number: int
+
+
+def tcp_settings(host_id, keys=(PEER_KEY,), listen=LOOPBACK):
+    network = FakeNetwork()
+    settings = network.environment(host_id, "zone-a").settings
+    return replace(settings, peer_listen=listen, peer_keys=keys)
+
+
+async def start_tcp_peers(settings, addresses):
+    peers = TcpPeers(settings, NullMetrics(), addresses.get)
+    await peers.start()
+    addresses[settings.host_id] = peers.address
+    peers.received = []
+
+    def answer(sender, echo):
+        peers.received.append(echo.number)
+        return echo
+
+    peers.register(Echo, answer)
+    return peers
+
+
+@given("two hosts with TCP streams")
+def given_tcp_hosts(context):
+    context.peer_keys = ((PEER_KEY,), (PEER_KEY,))
+
+
+@given("two hosts with TCP streams, one signing with the older key")
+def given_rotating_hosts(context):
+    context.peer_keys = ((PEER_KEY, OLDER_KEY), (OLDER_KEY, PEER_KEY))
+
+
+@when("{count:d} calls run at once over the streams")
+def when_calls(context, count):
+    async def scenario():
+        addresses = {}
+        first = await start_tcp_peers(
+            tcp_settings("a", context.peer_keys[0]), addresses
+        )
+        second = await start_tcp_peers(
+            tcp_settings("b", context.peer_keys[1]), addresses
+        )
+        calls = [first.call("b", Echo(number), 5.0) for number in range(count)]
+        replies = await asyncio.gather(*calls)
+        await first.close()
+        await second.close()
+        return replies
+
+    context.peer_replies = asyncio.run(scenario())
+    context.peer_calls = [Echo(number) for number in range(count)]
+
+
+@then("each call over the streams got its own reply")
+def then_own_replies(context):
+    assert context.peer_replies == context.peer_calls, context.peer_replies
+
+
+async def send_raw(address, data):
+    reader, writer = await asyncio.open_connection(*address)
+    await reader.readexactly(16)
+    writer.write(data)
+    await reader.read()
+    writer.close()
+
+
+@when("a recorded stream is replayed, and garbage and a forged frame are sent")
+def when_replayed(context):
+    async def scenario():
+        addresses = {}
+        second = await start_tcp_peers(tcp_settings("b"), addresses)
+        sender = await start_tcp_peers(tcp_settings("a"), addresses)
+        written = []
+        write = IOStream.write
+
+        def record(stream, data):
+            written.append(bytes(data))
+            return write(stream, data)
+
+        IOStream.write = record
+        try:
+            await sender.call("b", Echo(1), 5.0)
+        finally:
+            IOStream.write = write
+        # The connector's first write is an empty frame and then the call.
+        recorded = next(data for data in written if len(data) > 40)
+        await send_raw(second.address, recorded)
+        await send_raw(second.address, b"\xff" * 64)
+        await send_raw(second.address, b"\0" * 20 + encode(Echo(2)))
+        await sender.close()
+        await second.close()
+        return second
+
+    context.refusing_host = asyncio.run(scenario())
+
+
+@then("no message of the outsider arrived and three streams were refused")
+def then_refused(context):
+    host = context.refusing_host
+    assert host.received == [1], host.received
+    assert host._metrics.counters()["peers.dropped_bad_frame"] == 3
+
+
+@when("the second host restarts on the same address between two calls")
+def when_restarted(context):
+    async def scenario():
+        addresses = {}
+        first = await start_tcp_peers(tcp_settings("a"), addresses)
+        second = await start_tcp_peers(tcp_settings("b"), addresses)
+        replies = [await first.call("b", Echo(1), 5.0)]
+        await second.close()
+        settings = tcp_settings("b", listen=second.address)
+        again = await start_tcp_peers(settings, addresses)
+        await asyncio.sleep(0.05)
+        replies.append(await first.call("b", Echo(2), 5.0))
+        await first.close()
+        await again.close()
+        return replies
+
+    context.peer_replies = asyncio.run(scenario())
+
+
+@then("both calls around the restart got a reply")
+def then_both_replied(context):
+    assert context.peer_replies == [Echo(1), Echo(2)], context.peer_replies
+
+
+@given("two hosts on the in-memory network")
+def given_fake_hosts(context):
+    context.network = FakeNetwork(seed=1)
+
+
+def fail(error):
+    def handler(sender, echo):
+        raise error
+
+    return handler
+
+
+@when("a handler raises an ordinary error and an undecodable frame arrives")
+def when_handler_fails(context):
+    async def scenario():
+        first = context.network.environment("a", "zone-a")
+        second = context.network.environment("b", "zone-a")
+        second.peers.register(Echo, fail(ValueError("expected in this test")))
+        outcomes = [await first.peers.call("b", Echo(1), 1.0)]
+        for frame in (b"", b"\xc1", b"\x94\x01\x02\x03\x04", b"\x90"):
+            second.peers.receive_frame(frame)
+        second.peers._handlers.clear()
+        second.peers.register(Echo, lambda sender, echo: echo)
+        outcomes.append(await first.peers.call("b", Echo(2), 1.0))
+        return outcomes, second.metrics.counters()
+
+    context.peer_outcomes, context.peer_counters = run_virtual(scenario(), seed=1)
+
+
+@then("the errors were counted and the next call is answered")
+def then_counted(context):
+    assert isinstance(context.peer_outcomes[0], Unreachable)
+    assert context.peer_outcomes[1] == Echo(2)
+    assert context.peer_counters["peers.handler_errors"] == 1
+    assert context.peer_counters["peers.dropped_malformed"] == 4
+
+
+@then("a broken invariant in a handler stops the run")
+def then_stops(context):
+    async def scenario(handler):
+        first = context.network.environment("a", "zone-a")
+        second = context.network.environment("b", "zone-a")
+        second.peers.register(Echo, handler)
+        await first.peers.call("b", Echo(1), 1.0)
+
+    async def fail_later(sender, echo):
+        await asyncio.sleep(0.1)
+        raise InvariantBroken("later")
+
+    for handler in (fail(InvariantBroken("at once")), fail_later):
+        try:
+            run_virtual(scenario(handler))
+        except InvariantBroken:
+            continue
+        raise AssertionError("the run went on")
+
+
+@when("{count:d} datagrams are sent through a UDP socket in one burst")
+def when_burst(context, count):
+    async def scenario():
+        received = []
+        ports = UdpPorts(NullMetrics())
+        target = await ports.open(LOOPBACK, lambda data, sender: received.append(data))
+        source = await ports.open(LOOPBACK, lambda data, sender: None)
+        for number in range(count):
+            source.send(str(number).encode(), target.address)
+        await asyncio.sleep(0.2)
+        target.close()
+        source.close()
+        return received
+
+    context.burst = asyncio.run(scenario())
+
+
+@then("all {count:d} datagrams of the burst arrived in order")
+def then_burst_arrived(context, count):
+    assert context.burst == [str(number).encode() for number in range(count)]
