--- /dev/null
+++ b/src/wisteriatiller/configrecord.py
@@ -0,0 +1,197 @@
+"""The value that the store and the peers carry for a configuration.
+
+A record holds the revision, the submission id, the operators' text, the services and
+the earlier tables of each service. It is a msgpack array compressed with zlib, since
+texts and tables repeat themselves and the store takes at most one megabyte::
+
+    data = encode_record(ConfigRecord(configuration, submission_id))
+    record = decode_record(data)
+
+The services are stored beside the text, so that a host need not parse the text.
+"""
+
+import zlib
+from dataclasses import dataclass, replace
+
+import msgpack
+
+from .config import (
+    Configuration,
+    EarlierTable,
+    RequestMode,
+    Service,
+    Upstream,
+    next_earlier,
+)
+from .ids import Address, Revision, ServiceId, SubmissionId, UpstreamId, ZoneId
+
+FORMAT = 1
+# The store's limit for a value.
+MAX_RECORD_BYTES = 1_000_000
+# Bounds what a damaged or hostile record can unpack to on a host with 128 MB.
+MAX_UNPACKED_BYTES = 16_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRecord:
+    """A configuration and the id of the submission that wrote it."""
+
+    configuration: Configuration
+    submission_id: SubmissionId
+
+    @property
+    def revision(self) -> Revision:
+        return self.configuration.revision
+
+
+@dataclass(frozen=True, slots=True)
+class RecordInvalid:
+    """Bytes that do not form a record, or a record that is too large."""
+
+    detail: str
+
+
+def next_record(
+    former: Configuration, submitted: Configuration, submission_id: SubmissionId
+) -> ConfigRecord:
+    """The record that follows ``former`` with the services of ``submitted``."""
+    configuration = replace(
+        submitted,
+        revision=Revision(former.revision + 1),
+        earlier=next_earlier(former, submitted.services),
+    )
+    return ConfigRecord(configuration, submission_id)
+
+
+def encode_record(record: ConfigRecord) -> bytes | RecordInvalid:
+    """Encode a record; each upstream is written once, however many tables name it."""
+    configuration = record.configuration
+    rows: dict[Upstream, int] = {}
+
+    def row_of(upstream: Upstream) -> int:
+        return rows.setdefault(upstream, len(rows))
+
+    services = [
+        [
+            service.service_id,
+            str(service.address),
+            service.mode.value,
+            [row_of(upstream) for upstream in service.upstreams.values()],
+            list(service.depends_on),
+            service.deadline_ms,
+            service.flow_idle_s,
+            service.slow_start_s,
+            service.objective,
+        ]
+        for service in configuration.services.values()
+    ]
+    earlier = [
+        [
+            service_id,
+            [[table.revision, [*map(row_of, table.upstreams)]] for table in tables],
+        ]
+        for service_id, tables in configuration.earlier.items()
+    ]
+    unpacked = msgpack.packb(
+        [
+            FORMAT,
+            configuration.revision,
+            record.submission_id,
+            configuration.shard_count,
+            [_upstream_row(upstream) for upstream in rows],
+            services,
+            earlier,
+            configuration.text,
+        ]
+    )
+    data = zlib.compress(unpacked)
+    if len(data) > MAX_RECORD_BYTES or len(unpacked) > MAX_UNPACKED_BYTES:
+        return RecordInvalid(
+            f"the record takes {len(data)} bytes ({len(unpacked)} unpacked), "
+            f"more than {MAX_RECORD_BYTES} ({MAX_UNPACKED_BYTES} unpacked)"
+        )
+    return data
+
+
+def decode_record(data: bytes) -> ConfigRecord | RecordInvalid:
+    try:
+        unpacker = zlib.decompressobj()
+        unpacked = unpacker.decompress(data, MAX_UNPACKED_BYTES)
+        if not unpacker.eof:
+            return RecordInvalid("the record is cut off or too large")
+        return _record(msgpack.unpackb(unpacked))
+    except (
+        zlib.error,
+        msgpack.UnpackException,
+        ValueError,
+        TypeError,
+        LookupError,
+        AttributeError,
+    ) as error:
+        return RecordInvalid(f"undecodable record: {error!r}")
+
+
+def _upstream_row(upstream: Upstream) -> list:
+    return [
+        upstream.upstream_id,
+        upstream.service_id,
+        str(upstream.address),
+        upstream.zone,
+        upstream.slots,
+        upstream.weight,
+        upstream.drain,
+    ]
+
+
+def _upstream(row: list) -> Upstream:
+    upstream_id, service_id, address, zone, slots, weight, drain = row
+    return Upstream(
+        UpstreamId(upstream_id),
+        ServiceId(service_id),
+        Address.parse(address),
+        ZoneId(zone),
+        slots,
+        weight,
+        drain,
+    )
+
+
+def _record(items: list) -> ConfigRecord:
+    version, revision, submission_id, shard_count, rows, services, earlier, text = items
+    if version != FORMAT or type(revision) is not int or revision < 1:
+        raise ValueError(f"format {version!r}, revision {revision!r}")
+    upstreams = [_upstream(row) for row in rows]
+    configuration = Configuration(
+        revision=Revision(revision),
+        services={item[0]: _service(item, upstreams) for item in services},
+        shard_count=shard_count,
+        earlier={
+            ServiceId(service_id): tuple(
+                EarlierTable(
+                    Revision(table_revision),
+                    tuple(upstreams[index] for index in indexes),
+                )
+                for table_revision, indexes in tables
+            )
+            for service_id, tables in earlier
+        },
+        text=text,
+    )
+    return ConfigRecord(configuration, SubmissionId(submission_id))
+
+
+def _service(item: list, upstreams: list[Upstream]) -> Service:
+    service_id, address, mode, indexes, depends_on, *limits = item
+    deadline_ms, flow_idle_s, slow_start_s, objective = limits
+    members = [upstreams[index] for index in indexes]
+    return Service(
+        service_id=ServiceId(service_id),
+        address=Address.parse(address),
+        mode=RequestMode(mode),
+        upstreams={upstream.upstream_id: upstream for upstream in members},
+        depends_on=tuple(map(ServiceId, depends_on)),
+        deadline_ms=deadline_ms,
+        flow_idle_s=flow_idle_s,
+        slow_start_s=slow_start_s,
+        objective=objective,
+    )
--- /dev/null
+++ b/src/wisteriatiller/configtext.py
@@ -0,0 +1,241 @@
+"""The operators' text, read into a ``Configuration``.
+
+The text is JSON with comments and trailing commas. ``load_text`` either returns the
+configuration or every problem in the text::
+
+    outcome = load_text(path.read_bytes(), path.name)
+    if isinstance(outcome, TextProblems):
+        print(outcome)
+"""
+
+from collections.abc import Mapping
+
+from .config import (
+    DEFAULT_SHARD_COUNT,
+    Configuration,
+    RequestMode,
+    Service,
+    Upstream,
+)
+from .ids import Address, ServiceId, UpstreamId, ZoneId
+from .textcheck import (
+    Checker,
+    Field,
+    KeyPath,
+    NotAllowed,
+    TextProblems,
+    address,
+    boolean,
+    choice,
+    identifier,
+    integer,
+    list_of,
+    number,
+    parse_text,
+)
+
+MAX_SHARD_COUNT = 1024
+# A deadline has to end well before EXCHANGE_LIFETIME (247 s), after which a host
+# forgets the requests that it has seen.
+MAX_DEADLINE_MS = 120_000
+
+_TEXT_FIELDS = {
+    "shard_count": Field(integer(1, MAX_SHARD_COUNT), default=DEFAULT_SHARD_COUNT),
+    "services": Field(lambda value: value, required=True),
+}
+_SERVICE_FIELDS = {
+    "address": Field(address, required=True),
+    "requests": Field(choice("coap", "opaque"), required=True),
+    "depends_on": Field(list_of(identifier, "a list of service ids"), default=()),
+    "deadline_ms": Field(integer(10, MAX_DEADLINE_MS), default=2000),
+    "flow_idle_s": Field(integer(1, 86_400), default=300),
+    "slow_start_s": Field(integer(0, 3600), default=10),
+    "objective": Field(number(0.5, 0.999999), default=0.999),
+    "upstreams": Field(lambda value: value, required=True),
+}
+_UPSTREAM_FIELDS = {
+    "address": Field(address, required=True),
+    "zone": Field(identifier, required=True),
+    "slots": Field(integer(1, 10_000), required=True),
+    "weight": Field(number(0.01, 1000.0), default=1.0),
+    "drain": Field(boolean, default=False),
+}
+
+
+def load_text(text: bytes, name: str) -> Configuration | TextProblems:
+    """Read and check a text; ``name`` is the file name for the messages.
+
+    The revision is ``NO_REVISION`` until the store has accepted the text.
+    """
+    parsed = parse_text(text, name)
+    if isinstance(parsed, TextProblems):
+        return parsed
+    checker = Checker(name, parsed)
+    values = checker.fields((), parsed.value, _TEXT_FIELDS)
+    raw_services = {}
+    if isinstance(parsed.value, dict) and "services" in parsed.value:
+        allowed = "an object with at least one service"
+        path = ("services",)
+        raw_services = checker.mapping(path, parsed.value["services"], allowed)
+        if parsed.value["services"] == {}:
+            checker.problem(path, "no service", allowed)
+    services = {}
+    for service_id, raw in raw_services.items():
+        service = _service(checker, service_id, raw)
+        if service is not None:
+            services[service.service_id] = service
+    _check_addresses(checker, raw_services)
+    _check_dependencies(checker, raw_services)
+    problems = checker.result()
+    if problems is not None:
+        return problems
+    return Configuration(
+        services=services,
+        shard_count=values["shard_count"],
+        text=text.decode("utf-8"),
+    )
+
+
+def _service(checker: Checker, service_id: str, raw: object) -> Service | None:
+    path = ("services", service_id)
+    checker.value(path, service_id, identifier)
+    values = checker.fields(path, raw, _SERVICE_FIELDS)
+    upstreams = {}
+    if isinstance(raw, dict) and "upstreams" in raw:
+        upstreams = _upstreams(checker, path, raw["upstreams"])
+    if values is None:
+        return None
+    return Service(
+        service_id=ServiceId(service_id),
+        address=values["address"],
+        mode=RequestMode(values["requests"]),
+        upstreams=upstreams,
+        depends_on=tuple(map(ServiceId, values["depends_on"])),
+        deadline_ms=values["deadline_ms"],
+        flow_idle_s=values["flow_idle_s"],
+        slow_start_s=values["slow_start_s"],
+        objective=values["objective"],
+    )
+
+
+def _upstreams(
+    checker: Checker, service_path: KeyPath, raw: object
+) -> dict[UpstreamId, Upstream]:
+    path = (*service_path, "upstreams")
+    allowed = "an object with at least one upstream that does not drain"
+    raw_upstreams = checker.mapping(path, raw, allowed)
+    if isinstance(raw, dict) and not raw:
+        checker.problem(path, "no upstream", allowed)
+    upstreams = {}
+    for upstream_id, item in raw_upstreams.items():
+        item_path = (*path, upstream_id)
+        checker.value(item_path, upstream_id, identifier)
+        values = checker.fields(item_path, item, _UPSTREAM_FIELDS)
+        if values is not None:
+            upstreams[UpstreamId(upstream_id)] = Upstream(
+                upstream_id=UpstreamId(upstream_id),
+                service_id=ServiceId(service_path[-1]),
+                address=values["address"],
+                zone=ZoneId(values["zone"]),
+                slots=values["slots"],
+                weight=values["weight"],
+                drain=values["drain"],
+            )
+    draining = [
+        isinstance(item, dict) and item.get("drain") is True
+        for item in raw_upstreams.values()
+    ]
+    if draining and all(draining):
+        checker.problem(path, "only draining upstreams", allowed)
+    return upstreams
+
+
+def _check_addresses(checker: Checker, raw_services: Mapping) -> None:
+    """Refuse an address or an upstream id that two entries share."""
+    by_address: dict[Address, str] = {}
+    by_id: dict[str, str] = {}
+
+    def note_address(path: KeyPath, raw: object, owner: str) -> None:
+        try:
+            found = address(raw.get("address"))
+        except NotAllowed:
+            return
+        first = by_address.setdefault(found, owner)
+        if first != owner:
+            checker.problem(
+                (*path, "address"), f"{found}, the address of {first}", "a free address"
+            )
+
+    for service_id, raw in raw_services.items():
+        if not isinstance(raw, dict):
+            continue
+        path = ("services", service_id)
+        note_address(path, raw, f"service {service_id}")
+        upstreams = raw.get("upstreams")
+        for upstream_id, item in (
+            upstreams.items() if isinstance(upstreams, dict) else ()
+        ):
+            item_path = (*path, "upstreams", upstream_id)
+            first = by_id.setdefault(upstream_id, service_id)
+            if first != service_id:
+                checker.problem(
+                    item_path,
+                    f"the id {upstream_id} of an upstream of {first}",
+                    "an id that no other upstream has",
+                )
+            if isinstance(item, dict):
+                note_address(item_path, item, f"upstream {upstream_id}")
+
+
+def _check_dependencies(checker: Checker, raw_services: Mapping) -> None:
+    """Refuse unknown, repeated and cyclic dependencies."""
+    graph: dict[str, list[str]] = {}
+    for service_id, raw in raw_services.items():
+        names = raw.get("depends_on", ()) if isinstance(raw, dict) else ()
+        graph[service_id] = []
+        for index, name in enumerate(names if isinstance(names, list) else ()):
+            path = ("services", service_id, "depends_on", index)
+            if not isinstance(name, str):
+                continue
+            if name not in raw_services:
+                checker.problem(
+                    path, f"the unknown service {name}", "a service of this text"
+                )
+            elif name in graph[service_id]:
+                checker.problem(path, f"{name} a second time", "each service once")
+            else:
+                graph[service_id].append(name)
+    for cycle in _cycles(graph):
+        path = ("services", cycle[0], "depends_on")
+        chain = " -> ".join((*cycle, cycle[0]))
+        checker.problem(path, f"the cycle {chain}", "dependencies without a cycle")
+
+
+def _cycles(graph: Mapping[str, list[str]]) -> list[list[str]]:
+    """One cycle for each group of services that depend on each other.
+
+    The walk keeps its own stack, since a chain of thousands of services would exceed
+    the interpreter's recursion limit.
+    """
+    done: set[str] = set()
+    cycles = []
+    for start in graph:
+        chain: list[str] = []
+        position: dict[str, int] = {}
+        stack = [(start, iter(graph[start]))] if start not in done else []
+        while stack:
+            node, rest = stack[-1]
+            if node not in position:
+                position[node] = len(chain)
+                chain.append(node)
+            child = next(rest, None)
+            if child is None:
+                stack.pop()
+                chain.pop()
+                del position[node]
+                done.add(node)
+            elif child in position:
+                cycles.append(chain[position[child] :])
+            elif child not in done:
+                stack.append((child, iter(graph[child])))
+    return cycles
--- /dev/null
+++ b/src/wisteriatiller/textcheck.py
@@ -0,0 +1,435 @@
+"""Reading and checking of JSON texts with comments and trailing commas.
+
+``parse_text`` turns bytes into a ``ParsedText`` that knows the line of each key path.
+A ``Checker`` then reads typed fields from it and collects every problem, so that an
+operator sees all of them at once::
+
+    checker = Checker("services.json", parsed)
+    values = checker.fields((), parsed.value, {"shard_count": integer(1, 64)})
+"""
+
+import difflib
+import ipaddress
+import json
+import math
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import json5
+
+from .ids import Address
+
+MAX_TEXT_BYTES = 1_000_000
+# The deepest valid text nests 6 levels. Parsers recurse once or more for each level,
+# so the bound also keeps them away from the interpreter's recursion limit.
+MAX_DEPTH = 8
+# json5 reads about 40 KB a second. Larger texts have to be JSON apart from comments
+# and trailing commas, which the standard parser reads at several MB a second.
+MAX_JSON5_BYTES = 200_000
+MAX_ID_LENGTH = 64
+MAX_FOUND_LENGTH = 60
+
+KeyPath = tuple[str | int, ...]
+
+_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_PLAIN_KEY = re.compile(r"[A-Za-z0-9_-]+")
+_TOKEN = re.compile(
+    r"""
+    (?P<space>[\s\ufeff]+)
+    |(?P<comment>//[^\n\r\u2028\u2029]*|/\*.*?\*/)
+    |(?P<string>"[^"\\\n]*(?:\\.[^"\\\n]*)*"|'[^'\\\n]*(?:\\.[^'\\\n]*)*')
+    |(?P<mark>[{}\[\]:,])
+    |(?P<word>[^\s{}\[\]:,"'/\ufeff]+)
+    |(?P<stray>.)
+    """,
+    re.VERBOSE | re.DOTALL,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class TextProblem:
+    """One thing that is wrong with a text, and what would be right."""
+
+    file: str
+    line: int
+    key_path: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}:{self.line}"
+        if self.key_path:
+            place += f": {self.key_path}"
+        return f"{place}: found {self.found}; allowed: {self.allowed}"
+
+
+@dataclass(frozen=True, slots=True)
+class TextProblems:
+    """A text that was not accepted, with every problem found in it."""
+
+    problems: tuple[TextProblem, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(map(str, self.problems))
+
+
+@dataclass(slots=True)
+class ParsedText:
+    """The value of a text and the line on which each key path starts."""
+
+    value: object
+    lines: dict[KeyPath, int]
+    duplicates: list[KeyPath] = field(default_factory=list)
+
+    def line_of(self, path: KeyPath) -> int:
+        while path and path not in self.lines:
+            path = path[:-1]
+        return self.lines.get(path, 1)
+
+
+def show_path(path: KeyPath) -> str:
+    """Write a key path as ``services.stock.depends_on[0]``."""
+    text = ""
+    for part in path:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            plain = part if _PLAIN_KEY.fullmatch(part) else show_value(part)
+            text += f".{plain}" if text else plain
+    return text
+
+
+def show_value(value: object) -> str:
+    """Write a found value on one line, in ASCII and cut to a readable length."""
+    if isinstance(value, dict):
+        return "an object"
+    if isinstance(value, list):
+        return "a list"
+    try:
+        text = json.dumps(value)
+    except ValueError:
+        # The interpreter refuses to write integers of more than 4,300 digits.
+        return "a number with too many digits"
+    if len(text) > MAX_FOUND_LENGTH:
+        text = text[:MAX_FOUND_LENGTH] + "..."
+    return text
+
+
+def parse_text(data: bytes, name: str) -> ParsedText | TextProblems:
+    """Read a text; a text that cannot be parsed gives exactly one problem."""
+
+    def fail(line: int, path: KeyPath, found: str, allowed: str) -> TextProblems:
+        return TextProblems((TextProblem(name, line, show_path(path), found, allowed),))
+
+    if len(data) > MAX_TEXT_BYTES:
+        return fail(1, (), f"{len(data)} bytes", f"at most {MAX_TEXT_BYTES} bytes")
+    try:
+        text = data.decode("utf-8")
+    except UnicodeDecodeError as error:
+        line = data.count(b"\n", 0, error.start) + 1
+        found = f"the byte 0x{data[error.start]:02x} at offset {error.start}"
+        return fail(line, (), found, "UTF-8")
+    scan = _Scan()
+    scan.run(text)
+    if scan.stray is not None:
+        return fail(scan.line, scan.path(), scan.stray, scan.stray_allowed)
+    try:
+        return ParsedText(json.loads("".join(scan.pieces)), scan.lines, scan.duplicates)
+    except ValueError as error:
+        reason = error
+    if len(data) > MAX_JSON5_BYTES:
+        line = getattr(reason, "lineno", 1)
+        return fail(line, (), getattr(reason, "msg", str(reason)), "JSON")
+    try:
+        value = json5.loads(text)
+    except (ValueError, RecursionError) as error:
+        match = re.match(r"<string>:(\d+) (.*)", str(error), re.DOTALL)
+        line = int(match[1]) if match else 1
+        detail = match[2] if match else str(error)
+        detail = detail.encode("ascii", "backslashreplace").decode()
+        allowed = "JSON with comments and trailing commas"
+        return fail(line, (), detail[:200], allowed)
+    return ParsedText(value, scan.lines, scan.duplicates)
+
+
+class _Scan:
+    """One pass over the tokens of a text.
+
+    It records the line of each key path, repeated keys and the nesting depth, and
+    writes the text without comments and trailing commas to ``pieces``. It does not
+    validate; the JSON parser does that afterwards.
+    """
+
+    def __init__(self):
+        self.line = 1
+        self.pieces: list[str] = []
+        self.lines: dict[KeyPath, int] = {(): 1}
+        self.duplicates: list[KeyPath] = []
+        self.stray: str | None = None
+        self.stray_allowed = "JSON with comments and trailing commas"
+        self._frames: list[_Frame] = []
+        self._marks: list[tuple[str, int]] = [("", 0), ("", 0)]
+
+    def run(self, text: str) -> None:
+        for match in _TOKEN.finditer(text):
+            kind, token = match.lastgroup, match[0]
+            if kind in ("space", "comment"):
+                newlines = token.count("\n")
+                self.line += newlines
+                self.pieces.append("\n" * newlines or " ")
+                continue
+            if kind == "stray":
+                # A quote or slash left over here opens something that never ends.
+                # Scanning on would retry it at every later quote.
+                self.stray = f"an unclosed or misplaced {token}"
+                return
+            if kind == "mark":
+                self._mark(token)
+                if self.stray is not None:
+                    return
+            else:
+                self._scalar(kind, token)
+            self._marks = [self._marks[1], (token, len(self.pieces))]
+            self.pieces.append(token)
+            if kind == "string":
+                self.line += token.count("\n")
+
+    def path(self) -> KeyPath:
+        return self._frames[-1].value_path() if self._frames else ()
+
+    def _mark(self, token: str) -> None:
+        if token in "{[":
+            self._open(token)
+        elif token in "}]":
+            (before, _), (last, position) = self._marks
+            if last == "," and before not in ("{", "[", ",", ""):
+                self.pieces[position] = ""
+            if self._frames:
+                self._frames.pop()
+        elif self._frames:
+            frame = self._frames[-1]
+            if token == ",":
+                frame.index += 1
+                frame.expects_key = frame.is_object
+            elif token == ":":
+                frame.expects_key = False
+
+    def _open(self, token: str) -> None:
+        if len(self._frames) >= MAX_DEPTH:
+            self.stray = f"nesting deeper than {MAX_DEPTH} levels"
+            self.stray_allowed = f"at most {MAX_DEPTH} levels"
+            return
+        path = self.path()
+        self.lines.setdefault(path, self.line)
+        self._frames.append(_Frame(path, token == "{"))
+
+    def _scalar(self, kind: str, token: str) -> None:
+        if not self._frames:
+            return
+        frame = self._frames[-1]
+        if not frame.expects_key:
+            self.lines.setdefault(frame.value_path(), self.line)
+            return
+        frame.key = _key_text(kind, token)
+        path = frame.value_path()
+        if frame.key in frame.keys:
+            self.duplicates.append(path)
+        frame.keys.add(frame.key)
+        self.lines[path] = self.line
+
+
+class _Frame:
+    """An object or list that is open at the scanned position."""
+
+    __slots__ = ("expects_key", "index", "is_object", "key", "keys", "path")
+
+    def __init__(self, path: KeyPath, is_object: bool):
+        self.path = path
+        self.is_object = is_object
+        self.expects_key = is_object
+        self.key = ""
+        self.keys: set[str] = set()
+        self.index = 0
+
+    def value_path(self) -> KeyPath:
+        return (*self.path, self.key if self.is_object else self.index)
+
+
+def _key_text(kind: str, token: str) -> str:
+    if kind == "word":
+        return token
+    if "\\" not in token:
+        return token[1:-1]
+    try:
+        return json5.loads(token)
+    except ValueError:
+        return token[1:-1]
+
+
+# A field check returns the checked value, or raises ``NotAllowed``.
+FieldCheck = Callable[[object], object]
+
+
+class NotAllowed(Exception):
+    """A value that a field check refuses; caught by the ``Checker``."""
+
+    def __init__(self, allowed: str):
+        self.allowed = allowed
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """How one key of an object is checked; ``required`` keys have no default."""
+
+    check: FieldCheck
+    required: bool = False
+    default: object = None
+
+
+class Checker:
+    """Collects the problems of one text."""
+
+    def __init__(self, name: str, parsed: ParsedText):
+        self.name = name
+        self.parsed = parsed
+        self.problems: list[TextProblem] = []
+        for path in parsed.duplicates:
+            self.problem(path, "the key a second time", "each key once")
+
+    def problem(self, path: KeyPath, found: str, allowed: str) -> None:
+        line = self.parsed.line_of(path)
+        self.problems.append(
+            TextProblem(self.name, line, show_path(path), found, allowed)
+        )
+
+    def result(self) -> TextProblems | None:
+        """The problems in the order of the text, or None if there are none."""
+        if not self.problems:
+            return None
+        return TextProblems(tuple(sorted(self.problems, key=lambda p: p.line)))
+
+    def value(self, path: KeyPath, value: object, check: FieldCheck) -> object:
+        """Check one value; None stands for a problem that was noted."""
+        try:
+            return check(value)
+        except NotAllowed as wrong:
+            self.problem(path, show_value(value), wrong.allowed)
+            return None
+
+    def mapping(self, path: KeyPath, value: object, allowed: str) -> dict:
+        if isinstance(value, dict):
+            return value
+        self.problem(path, show_value(value), allowed)
+        return {}
+
+    def fields(
+        self, path: KeyPath, value: object, fields: Mapping[str, Field]
+    ) -> dict[str, object] | None:
+        """Check the keys of an object; None if the object cannot be used."""
+        if not isinstance(value, dict):
+            self.problem(path, show_value(value), "an object")
+            return None
+        before = len(self.problems)
+        for key in value:
+            if key not in fields:
+                self.problem((*path, key), "an unknown key", _known_keys(key, fields))
+        checked = {}
+        for key, item in fields.items():
+            if key in value:
+                checked[key] = self.value((*path, key), value[key], item.check)
+            elif item.required:
+                self.problem(path, f"no key {key}", f"an object with the key {key}")
+            else:
+                checked[key] = item.default
+        return checked if len(self.problems) == before else None
+
+
+def _known_keys(key: str, fields: Mapping[str, Field]) -> str:
+    """Name the key that was meant, with its unit, or else all keys."""
+    stem = re.sub(r"_(ms|s|min|m|h|sec|seconds|bytes|kb)$", "", key)
+    for name in fields:
+        if re.sub(r"_(ms|s)$", "", name) == stem:
+            unit = {"ms": "milliseconds", "s": "seconds"}.get(name.rpartition("_")[2])
+            return f"{name}, a number of {unit}" if unit else name
+    close = difflib.get_close_matches(key, fields, 1)
+    return close[0] if close else "one of " + ", ".join(fields)
+
+
+def integer(low: int, high: int) -> FieldCheck:
+    def check(value):
+        if type(value) is not int or not low <= value <= high:
+            raise NotAllowed(f"a whole number from {low} to {high}")
+        return value
+
+    return check
+
+
+def number(low: float, high: float) -> FieldCheck:
+    def check(value):
+        usable = type(value) is int or (type(value) is float and math.isfinite(value))
+        if not usable or not low <= value <= high:
+            raise NotAllowed(f"a number from {low} to {high}")
+        return float(value)
+
+    return check
+
+
+def boolean(value):
+    if type(value) is not bool:
+        raise NotAllowed("true or false")
+    return value
+
+
+def choice(*names: str) -> FieldCheck:
+    def check(value):
+        if not isinstance(value, str) or value not in names:
+            raise NotAllowed(" or ".join(json.dumps(name) for name in names))
+        return value
+
+    return check
+
+
+def identifier(value):
+    if not isinstance(value, str) or not _ID.fullmatch(value):
+        raise NotAllowed(
+            "an id of letters, digits, dots, dashes and underscores, "
+            f"up to {MAX_ID_LENGTH} characters"
+        )
+    return value
+
+
+def address(value, unspecified: bool = False):
+    """An IP number and a port; names are refused, since no host resolves them."""
+    allowed = 'an IP number and a port such as "10.10.0.1:5683" or "[2001:db8::1]:5683"'
+    if not isinstance(value, str) or "%" in value:
+        raise NotAllowed(allowed)
+    match = re.fullmatch(r"(?:\[([0-9A-Fa-f:.]+)\]|([0-9.]+)):([0-9]{1,5})", value)
+    if match is None or not 1 <= int(match[3]) <= 65535:
+        raise NotAllowed(allowed)
+    try:
+        ip = ipaddress.ip_address(match[1] or match[2])
+    except ValueError:
+        raise NotAllowed(allowed) from None
+    if (ip.version == 6) != bool(match[1]):
+        raise NotAllowed(allowed)
+    if ip.is_multicast or (ip.is_unspecified and not unspecified):
+        raise NotAllowed("the IP number of one host, with a port")
+    return Address(str(ip), int(match[3]))
+
+
+def listen_address(value):
+    """An address to bind, which may be the unspecified one."""
+    return address(value, unspecified=True)
+
+
+def list_of(check: FieldCheck, allowed: str, least: int = 0) -> FieldCheck:
+    def check_all(value):
+        if not isinstance(value, list) or len(value) < least:
+            raise NotAllowed(allowed)
+        try:
+            return tuple(check(item) for item in value)
+        except NotAllowed:
+            raise NotAllowed(allowed) from None
+
+    return check_all
