--- /dev/null
+++ b/src/wisteriatiller/runtime.py
@@ -0,0 +1,83 @@
+"""Wires the parts of a host together, starts them and stops them."""
+
+import asyncio
+from collections.abc import Coroutine
+
+from .config import ConfigSource
+from .environment import Environment
+from .ids import Address, FlowKey, ShardId
+from .ingress import Ingress
+from .lease import ShardLeases
+from .membership import Membership
+from .opening import FlowOpener, UpstreamChooser
+from .owner import Owner
+from .ownership import Ownership
+from .ports import DatagramPort
+from .tasks import spawn
+
+
+class Host:
+    """One host: an ingress, and the owner of the shards that it leases."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        membership: Membership,
+        leases: ShardLeases,
+        source: ConfigSource,
+        chooser: UpstreamChooser,
+    ):
+        self.environment = environment
+        self.membership = membership
+        self.leases = leases
+        self.source = source
+        self.ownership = Ownership(environment, membership)
+        opener = FlowOpener(environment, membership, self.ownership, source, chooser)
+        self.owner = Owner(
+            environment,
+            membership,
+            self.ownership,
+            leases,
+            source,
+            opener,
+            self._answer,
+        )
+        self.ingress = Ingress(environment, source, self.owner)
+        self._ports: list[DatagramPort] = []
+        self._tasks: list[asyncio.Task] = []
+        leases.on_acquired = self.owner.acquire
+        leases.on_lost = self._lease_lost
+
+    async def start(self) -> None:
+        """Open the data ports; the fabric's comes last, when all else is ready."""
+        settings = self.environment.settings
+        self.owner.upstream_port = await self._open(
+            settings.upstream_listen, self.owner.receive_from_upstream
+        )
+        self.ingress.upstream_port = self.owner.upstream_port
+        self._run(self.owner.probe_upstreams(), "probe upstreams")
+        self._run(self.owner.sweep(), "sweep")
+        self.ingress.fabric_port = await self._open(
+            settings.fabric_listen, self.ingress.receive
+        )
+
+    async def close(self) -> None:
+        """Close every port and end every task without waiting for anything."""
+        for task in self._tasks:
+            task.cancel()
+        for port in self._ports:
+            port.close()
+
+    def _answer(self, flow_key: FlowKey, payload: bytes) -> None:
+        self.ingress.answer(flow_key, payload)
+
+    def _lease_lost(self, shard: ShardId, epoch: int) -> None:
+        self.owner.lose(shard)
+
+    async def _open(self, address: Address, receive) -> DatagramPort:
+        port = await self.environment.datagrams.open(address, receive)
+        self._ports.append(port)
+        return port
+
+    def _run(self, coroutine: Coroutine, name: str) -> None:
+        self._tasks.append(spawn(coroutine, name))
--- a/testbed/caller.py
+++ b/testbed/caller.py
@@ -205,6 +205,7 @@
         seed: int,
         ack_timeout_s: float = ACK_TIMEOUT_S,
         max_retransmit: int = MAX_RETRANSMIT,
+        open_socket=BatchSocket,
     ):
         self.random = random.Random(seed)
         self.record = CallerRecord()
@@ -213,7 +214,7 @@
         self._ack_timeout_s = ack_timeout_s
         self._max_retransmit = max_retransmit
         self._loop = asyncio.get_running_loop()
-        self._socket = BatchSocket(listen, self._receive)
+        self._socket = open_socket(listen, self._receive)
         self._token = self.random.randrange(1 << 40) << 16
 
     def open_flow(self, service: str, service_address: Address, address: Address):
--- a/testbed/fabric.py
+++ b/testbed/fabric.py
@@ -59,9 +59,9 @@
 class Fabric:
     """Forwards datagrams between callers and balancers."""
 
-    def __init__(self, listen: Address, seed: int):
+    def __init__(self, listen: Address, seed: int, open_socket=BatchSocket):
         self._random = random.Random(seed)
-        self._socket = BatchSocket(listen, self._receive)
+        self._socket = open_socket(listen, self._receive)
         self._loop = asyncio.get_running_loop()
         self.address = self._socket.address
         self.faults = FabricFaults()
--- a/testbed/upstream.py
+++ b/testbed/upstream.py
@@ -16,7 +16,6 @@
 import json
 import random
 import struct
-import time
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -134,7 +133,7 @@
 class Upstream:
     """One upstream with its socket, slots, queue and duplicate table."""
 
-    def __init__(self, spec: UpstreamSpec, seed: int):
+    def __init__(self, spec: UpstreamSpec, seed: int, open_socket=BatchSocket):
         self.spec = spec
         self.faults = UpstreamFaults()
         self.record = Record()
@@ -150,11 +149,11 @@
         self._reports = collections.deque()
         self._headers: dict[bytes, tuple[str, bytes, bool]] = {}
         self._bodies: dict[str, bytes] = {}
-        self._socket = BatchSocket(spec.address, self._receive)
+        self._socket = open_socket(spec.address, self._receive)
 
     def clock_ms(self) -> int:
         """The upstream's own clock, which no other process shares."""
-        return int(time.monotonic() * 1000) + self._clock_offset_ms
+        return int(self._loop.time() * 1000) + self._clock_offset_ms
 
     def set_faults(self, changes: dict) -> dict:
         result = update_faults(self.faults, changes)
