--- a/src/wisteriatiller/configrecord.py
+++ b/src/wisteriatiller/configrecord.py
@@ -30,19 +30,33 @@
 MAX_RECORD_BYTES = 1_000_000
 # Bounds what a damaged or hostile record can unpack to on a host with 128 MB.
 MAX_UNPACKED_BYTES = 16_000_000
+# Enough to find a submission again that others have followed in the meantime.
+MAX_HISTORY = 32
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigRecord:
-    """A configuration and the id of the submission that wrote it."""
+    """A configuration, the id of the submission that wrote it and former ids.
+
+    The history tells older data of a store from a submission that was made on top of
+    older data, and lets an operator whose answer was lost find the submission again.
+    """
 
     configuration: Configuration
     submission_id: SubmissionId
+    history: tuple[SubmissionId, ...] = ()
 
     @property
     def revision(self) -> Revision:
         return self.configuration.revision
 
+    def contains(self, submission_id: SubmissionId) -> bool:
+        """Whether the submission is this one or one that led to it."""
+        return submission_id == self.submission_id or submission_id in self.history
+
+
+NO_RECORD = ConfigRecord(Configuration(), SubmissionId(""))
+
 
 @dataclass(frozen=True, slots=True)
 class RecordInvalid:
@@ -52,15 +66,16 @@
 
 
 def next_record(
-    former: Configuration, submitted: Configuration, submission_id: SubmissionId
+    former: ConfigRecord, submitted: Configuration, submission_id: SubmissionId
 ) -> ConfigRecord:
     """The record that follows ``former`` with the services of ``submitted``."""
     configuration = replace(
         submitted,
         revision=Revision(former.revision + 1),
-        earlier=next_earlier(former, submitted.services),
+        earlier=next_earlier(former.configuration, submitted.services),
     )
-    return ConfigRecord(configuration, submission_id)
+    history = (former.submission_id, *former.history)[:MAX_HISTORY]
+    return ConfigRecord(configuration, submission_id, history)
 
 
 def encode_record(record: ConfigRecord) -> bytes | RecordInvalid:
@@ -97,6 +112,7 @@
             FORMAT,
             configuration.revision,
             record.submission_id,
+            list(record.history),
             configuration.shard_count,
             [_upstream_row(upstream) for upstream in rows],
             services,
@@ -157,7 +173,8 @@
 
 
 def _record(items: list) -> ConfigRecord:
-    version, revision, submission_id, shard_count, rows, services, earlier, text = items
+    version, revision, submission_id, history, shard_count, *rest = items
+    rows, services, earlier, text = rest
     if version != FORMAT or type(revision) is not int or revision < 1:
         raise ValueError(f"format {version!r}, revision {revision!r}")
     upstreams = [_upstream(row) for row in rows]
@@ -177,7 +194,7 @@
         },
         text=text,
     )
-    return ConfigRecord(configuration, SubmissionId(submission_id))
+    return ConfigRecord(configuration, SubmissionId(submission_id), tuple(history))
 
 
 def _service(item: list, upstreams: list[Upstream]) -> Service:
--- /dev/null
+++ b/src/wisteriatiller/configstore.py
@@ -0,0 +1,478 @@
+"""Submitting a configuration, and following it on every host.
+
+``submit`` writes the store key ``config/current`` by compare-and-swap::
+
+    outcome = await submit(store, configuration, new_submission_id())
+    if isinstance(outcome, Submitted):
+        print(outcome.revision)
+
+``ConfigFollower`` keeps the newest configuration on a host. Two hosts of each zone
+watch the store; the others learn the revision by gossip and pull the record from a
+host that has it. Its revision never goes down.
+"""
+
+import asyncio
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .config import Configuration
+from .configrecord import (
+    NO_RECORD,
+    ConfigRecord,
+    RecordInvalid,
+    decode_record,
+    encode_record,
+    next_record,
+)
+from .environment import Environment
+from .exceptions import check_invariant
+from .ids import NO_REVISION, HostId, Revision, SubmissionId
+from .logs import log_event
+from .membership import Membership
+from .messages import Message, message
+from .outcomes import Conflict, StoreUnavailable
+from .placement import rank_hosts
+from .ports import Store, StoreEntry, StoreMissing
+from .textcheck import TextProblem, TextProblems
+
+CONFIG_KEY = "config/current"
+GOSSIP_KEY = "config"
+WATCHERS_PER_ZONE = 2
+# Bounds how long a store that came back with a lower index can hold a watch, and how
+# long a host that is no longer a watcher goes on waiting.
+WATCH_S = 10.0
+# Keeps a store that answers its watches at once from being read in a tight loop.
+MIN_WATCH_INTERVAL_S = 0.1
+STORE_RETRY_S = 0.5
+STORE_RETRY_MAX_S = 5.0
+# Watchers of all zones see an older store at the same time; one write is enough.
+WRITE_BACK_JITTER_S = 0.5
+FOLLOW_INTERVAL_S = 1.0
+# Each record is passed on along a tree, so that a watcher of a zone with hundreds of
+# hosts sends it a few times instead of hundreds of times.
+PULL_FANOUT = 4
+PULL_TIMEOUT_S = 2.0
+PULL_RETRY_S = 0.3
+PULLS_FROM_PARENT = 4
+READ_BACK_INTERVAL_S = 0.5
+
+
+@message(60)
+class ConfigPull(Message):
+    """Asks for the record if its revision is higher than ``known_revision``."""
+
+    known_revision: int
+
+
+@message(61)
+class ConfigData(Message):
+    """An encoded record; without bytes, the host has no higher revision."""
+
+    revision: int
+    record: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """The text is in the store; ``unchanged`` if it already was before."""
+
+    revision: Revision
+    submission_id: SubmissionId
+    unchanged: bool = False
+
+
+def new_submission_id() -> SubmissionId:
+    return SubmissionId(uuid.uuid4().hex)
+
+
+def check_successor(
+    former: Configuration, submitted: Configuration, name: str
+) -> TextProblems | None:
+    """Refuse changes that could give an upstream two owners.
+
+    The shard of an upstream follows from its id, its zone and ``shard_count``. Hosts
+    take a revision at different moments, so two of them would hold valid leases of
+    different shards for one upstream if any of these changed, or if one upstream
+    address moved to another id.
+    """
+    problems = []
+
+    def refuse(key_path: str, found: object, allowed: str) -> None:
+        problems.append(TextProblem(name, 1, key_path, str(found), allowed))
+
+    if former.revision and submitted.shard_count != former.shard_count:
+        allowed = f"{former.shard_count}, as in revision {former.revision}"
+        refuse("shard_count", submitted.shard_count, allowed)
+    for upstream in submitted.upstreams.values():
+        path = f"services.{upstream.service_id}.upstreams.{upstream.upstream_id}"
+        known = former.upstreams.get(upstream.upstream_id)
+        if known is not None:
+            for key in ("service_id", "zone", "address"):
+                if getattr(known, key) != getattr(upstream, key):
+                    allowed = f"{getattr(known, key)} for this id, or a new id"
+                    refuse(f"{path}.{key}", getattr(upstream, key), allowed)
+        holder = former.upstream_by_address.get(upstream.address)
+        if holder is not None and holder.upstream_id != upstream.upstream_id:
+            found = f"{upstream.address}, the address of {holder.upstream_id}"
+            refuse(f"{path}.address", found, f"the id {holder.upstream_id} for it")
+    return TextProblems(tuple(problems)) if problems else None
+
+
+async def read_record(
+    store: Store, wait_index: int = 0, wait_s: float = 0.0
+) -> tuple[ConfigRecord, int, bytes] | RecordInvalid | StoreUnavailable:
+    """The record of the store, its index and its bytes; ``NO_RECORD`` if none."""
+    entry = await store.get(CONFIG_KEY, wait_index, wait_s)
+    if isinstance(entry, StoreUnavailable):
+        return entry
+    if isinstance(entry, StoreMissing):
+        return NO_RECORD, entry.index, b""
+    record = decode_record(entry.value)
+    if isinstance(record, RecordInvalid):
+        return record
+    return record, entry.index, entry.value
+
+
+SubmitOutcome = Submitted | Conflict | TextProblems | StoreUnavailable
+
+
+async def submit(
+    store: Store,
+    submitted: Configuration,
+    submission_id: SubmissionId,
+    *,
+    name: str = "text",
+    expected_revision: Revision | None = None,
+    running_revision: Revision = NO_REVISION,
+    timeout_s: float = 10.0,
+) -> SubmitOutcome:
+    """Write a checked configuration as the next revision.
+
+    A text that is already in force is not written again. ``expected_revision`` is the
+    one that the operator edited; any other gives a ``Conflict``. ``running_revision``
+    is the highest that live hosts run: a store with a lower one lost data, and the
+    hosts have to write it back first. ``StoreUnavailable`` means that the store did
+    not answer in ``timeout_s``; the same submission id may be submitted again.
+    """
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    attempt = _Submission(store, submitted, submission_id, name, running_revision)
+    while True:
+        outcome = await attempt.step(expected_revision)
+        if not isinstance(outcome, StoreUnavailable):
+            return outcome
+        if loop.time() + READ_BACK_INTERVAL_S > deadline_s:
+            return outcome
+        await asyncio.sleep(READ_BACK_INTERVAL_S)
+
+
+class _Submission:
+    """One submission over its attempts.
+
+    All attempts swap against the index of the first read. If an answer is lost, at
+    most one of them takes effect, and the store's history tells which.
+    """
+
+    def __init__(self, store, submitted, submission_id, name, running_revision):
+        self._store = store
+        self._submitted = submitted
+        self._submission_id = submission_id
+        self._name = name
+        self._running_revision = running_revision
+        self._base: tuple[Revision, SubmissionId] | None = None
+
+    async def step(self, expected_revision: Revision | None) -> SubmitOutcome:
+        read = await read_record(self._store)
+        if isinstance(read, StoreUnavailable):
+            return read
+        if isinstance(read, RecordInvalid):
+            return StoreUnavailable(f"{CONFIG_KEY}: {read.detail}")
+        former, index, _ = read
+        if former.contains(self._submission_id):
+            return Submitted(self._own_revision(former), self._submission_id)
+        if former.revision < self._running_revision:
+            return StoreUnavailable(
+                f"the store holds revision {former.revision}, older than revision "
+                f"{self._running_revision} of the hosts, which write it back"
+            )
+        if former.revision and former.configuration.text == self._submitted.text:
+            return Submitted(former.revision, former.submission_id, unchanged=True)
+        base = (former.revision, former.submission_id)
+        if self._base is None:
+            self._base = base
+        unexpected = expected_revision not in (None, former.revision)
+        if self._base != base or unexpected:
+            return Conflict(former.revision)
+        return await self._write(former, index)
+
+    async def _write(self, former: ConfigRecord, index: int) -> SubmitOutcome:
+        problems = check_successor(former.configuration, self._submitted, self._name)
+        if problems is not None:
+            return problems
+        record = next_record(former, self._submitted, self._submission_id)
+        data = encode_record(record)
+        if isinstance(data, RecordInvalid):
+            problem = TextProblem(self._name, 1, "", data.detail, "a smaller text")
+            return TextProblems((problem,))
+        written = await self._store.compare_and_swap(
+            CONFIG_KEY, data, index if former.revision else 0
+        )
+        if isinstance(written, StoreEntry):
+            return Submitted(record.revision, self._submission_id)
+        if isinstance(written, Conflict):
+            # The next attempt reads who was first; it may have been this submission.
+            return StoreUnavailable("another write came first")
+        return StoreUnavailable(
+            f"{written.detail}; submission {self._submission_id} may have taken effect"
+        )
+
+    def _own_revision(self, record: ConfigRecord) -> Revision:
+        chain = (record.submission_id, *record.history)
+        return Revision(record.revision - chain.index(self._submission_id))
+
+
+ConfigListener = Callable[[Configuration], None]
+
+
+class ConfigFollower:
+    """The newest configuration on one host.
+
+    ``run`` is the host's task; listeners are called with each new configuration::
+
+        follower = ConfigFollower(environment, membership)
+        follower.on_change(ingress.set_configuration)
+        task = asyncio.create_task(follower.run())
+    """
+
+    def __init__(self, environment: Environment, membership: Membership):
+        self._environment = environment
+        self._membership = membership
+        self._host_id = environment.settings.host_id
+        self._zone = environment.settings.zone
+        self._record = NO_RECORD
+        self._data = b""
+        self._listeners: list[ConfigListener] = []
+        self._tasks: asyncio.TaskGroup | None = None
+        self._pull_task: asyncio.Task | None = None
+        self._store_away = False
+        environment.peers.register(ConfigPull, self._answer_pull)
+        membership.subscribe(GOSSIP_KEY, self._on_gossip)
+
+    @property
+    def configuration(self) -> Configuration:
+        return self._record.configuration
+
+    @property
+    def record(self) -> ConfigRecord:
+        return self._record
+
+    @property
+    def store_away(self) -> bool:
+        """Whether this host watches the store and got no answer last time."""
+        return self._store_away
+
+    def on_change(self, listener: ConfigListener) -> None:
+        self._listeners.append(listener)
+
+    def watches_store(self) -> bool:
+        watchers = self._ranked_for("config/watch")[:WATCHERS_PER_ZONE]
+        return self._host_id in watchers or not watchers
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled; a failed pull ends it too."""
+        try:
+            async with asyncio.TaskGroup() as self._tasks:
+                while True:
+                    if self.watches_store():
+                        await self._watch()
+                    self._store_away = False
+                    self._pull_if_behind()
+                    await asyncio.sleep(FOLLOW_INTERVAL_S)
+        except BaseExceptionGroup as group:
+            raise group.exceptions[0] from group
+        finally:
+            self._tasks = None
+
+    async def catch_up(
+        self, sender: HostId, revision: Revision, timeout_s: float
+    ) -> bool:
+        """Pull from a peer that has ``revision``; whether this host has it then."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while self._record.revision < revision:
+            rest_s = deadline_s - loop.time()
+            if rest_s <= 0:
+                return False
+            await self._pull_from(sender, min(rest_s, PULL_TIMEOUT_S))
+            if self._record.revision < revision:
+                await asyncio.sleep(min(PULL_RETRY_S, max(0.0, rest_s)))
+        return True
+
+    # Watching the store.
+
+    async def _watch(self) -> None:
+        index = 0
+        retry_s = STORE_RETRY_S
+        while self.watches_store():
+            read = await read_record(self._environment.store, index, WATCH_S)
+            if isinstance(read, StoreUnavailable | RecordInvalid):
+                self._note_store(read.detail)
+                index = 0
+                self._pull_if_behind()
+                await asyncio.sleep(retry_s * self._environment.random.uniform(0.5, 1))
+                retry_s = min(2 * retry_s, STORE_RETRY_MAX_S)
+                continue
+            self._note_store(None)
+            retry_s = STORE_RETRY_S
+            record, index, data = read
+            if record.revision > self._record.revision:
+                self._take(record, data, "store")
+            elif record.submission_id != self._record.submission_id:
+                await self._write_back()
+                index = 0
+            await asyncio.sleep(MIN_WATCH_INTERVAL_S)
+
+    def _note_store(self, failure: str | None) -> None:
+        if (failure is not None) == self._store_away:
+            return
+        self._store_away = failure is not None
+        if failure is not None:
+            log_event("store_unavailable", level="warning", detail=failure)
+        else:
+            log_event("store_available", revision=self._record.revision)
+
+    async def _write_back(self) -> None:
+        """Bring a store that came back with older data up to this host's revision.
+
+        A submission that was made on top of the older data is kept: it is written
+        again as the revision after this host's, since hosts would never take it under
+        the lower number that it got.
+        """
+        jitter_s = self._environment.random.uniform(0.0, WRITE_BACK_JITTER_S)
+        await asyncio.sleep(jitter_s)
+        read = await read_record(self._environment.store)
+        if isinstance(read, StoreUnavailable | RecordInvalid):
+            return
+        stored, index, _ = read
+        if stored.revision > self._record.revision:
+            return
+        if stored.submission_id == self._record.submission_id:
+            return
+        record, data = self._record, self._data
+        if stored.revision and not record.contains(stored.submission_id):
+            record = next_record(record, stored.configuration, stored.submission_id)
+            data = encode_record(record)
+            if isinstance(data, RecordInvalid):
+                log_event("config_not_reissued", level="error", detail=data.detail)
+                return
+        outcome = await self._environment.store.compare_and_swap(
+            CONFIG_KEY, data, index if stored.revision else 0
+        )
+        if isinstance(outcome, StoreEntry):
+            self._environment.metrics.count("config_written_back")
+            log_event(
+                "config_written_back",
+                level="warning",
+                revision=record.revision,
+                store_revision=stored.revision,
+            )
+
+    # Pulling from peers.
+
+    def _on_gossip(self, key: str, version: int, value: object) -> None:
+        if key == GOSSIP_KEY:
+            self._pull_if_behind()
+
+    def _pull_if_behind(self) -> None:
+        known = self._membership.value(GOSSIP_KEY)
+        if known is None or known[0] <= self._record.revision or self._tasks is None:
+            return
+        if self._pull_task is None or self._pull_task.done():
+            self._pull_task = self._tasks.create_task(self._pull())
+
+    async def _pull(self) -> None:
+        """Pull until this host has the highest revision known by gossip."""
+        attempt = 0
+        while True:
+            known = self._membership.value(GOSSIP_KEY)
+            if known is None or known[0] <= self._record.revision:
+                return
+            source = self._pull_source(known[0], HostId(str(known[1])), attempt)
+            if source is not None:
+                await self._pull_from(source, PULL_TIMEOUT_S)
+            attempt += 1
+            if known[0] > self._record.revision:
+                factor = min(2 ** max(0, attempt - 2 * PULLS_FROM_PARENT), 8)
+                jitter = self._environment.random.uniform(0.5, 1.0)
+                await asyncio.sleep(PULL_RETRY_S * factor * jitter)
+
+    def _pull_source(
+        self, revision: int, sender: HostId, attempt: int
+    ) -> HostId | None:
+        """The parent in the tree first, then the sender, then any live host."""
+        parent = self._parent(revision)
+        if attempt < PULLS_FROM_PARENT and parent is not None:
+            return parent
+        hosts = self._ranked_for("config/watch")
+        others = [host_id for host_id in hosts if host_id != self._host_id]
+        if sender != self._host_id and (attempt % 2 == 0 or not others):
+            return sender
+        return self._environment.random.choice(others) if others else None
+
+    def _parent(self, revision: int) -> HostId | None:
+        """The host of the zone that passes this revision on to this host.
+
+        The order changes with the revision, so no host always sends the most.
+        """
+        watchers = self._ranked_for("config/watch")[:WATCHERS_PER_ZONE]
+        if self._host_id in watchers:
+            return None
+        rest = [h for h in self._ranked_for(f"config/{revision}") if h not in watchers]
+        order = watchers + rest
+        if self._host_id not in order:
+            return None
+        position = order.index(self._host_id)
+        parent = order[(position - len(watchers)) // PULL_FANOUT]
+        return None if parent == self._host_id else parent
+
+    def _ranked_for(self, key: str) -> list[HostId]:
+        return rank_hosts(key, self._membership.live_hosts(self._zone))
+
+    async def _pull_from(self, host_id: HostId, timeout_s: float) -> None:
+        request = ConfigPull(self._record.revision)
+        answer = await self._environment.peers.call(host_id, request, timeout_s)
+        if not isinstance(answer, ConfigData) or not answer.record:
+            return
+        record = decode_record(answer.record)
+        if isinstance(record, RecordInvalid):
+            log_event(
+                "config_record_invalid",
+                level="error",
+                host=host_id,
+                detail=record.detail,
+            )
+        elif record.revision > self._record.revision:
+            self._take(record, answer.record, host_id)
+
+    def _answer_pull(self, sender: HostId, request: ConfigPull) -> ConfigData:
+        if request.known_revision >= self._record.revision:
+            return ConfigData(self._record.revision, b"")
+        return ConfigData(self._record.revision, self._data)
+
+    # Taking a revision.
+
+    def _take(self, record: ConfigRecord, data: bytes, source: str) -> None:
+        check_invariant(
+            record.revision > self._record.revision,
+            "config_revision_rises",
+            revision=record.revision,
+            former=self._record.revision,
+        )
+        self._record = record
+        self._data = data
+        self._environment.metrics.gauge("config_revision", record.revision)
+        log_event("config_applied", revision=record.revision, source=source)
+        for listener in self._listeners:
+            listener(record.configuration)
+        self._membership.publish(GOSSIP_KEY, record.revision, self._host_id)
--- /dev/null
+++ b/src/wisteriatiller/logs.py
@@ -0,0 +1,71 @@
+"""Log lines of key=value pairs, one line for each event.
+
+``log_event("config_applied", revision=3)`` writes::
+
+    time=2026-01-05T08:00:00.123Z level=info event=config_applied revision=3
+"""
+
+import json
+import logging as standard_logging
+import re
+import time
+
+from absl import logging
+
+_PLAIN = re.compile(r"[^\s\"=\\\x00-\x1f\x7f-\x9f]+")
+_SECRET_NAME = re.compile(r"(?:peer_keys?|.*(?:secret|password|token))")
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+def log_event(event: str, level: str = "info", **pairs: object) -> None:
+    """Write one event; values are quoted where a reader could not split them."""
+    if logging.get_verbosity() >= _LEVELS[level]:
+        logging.log(_LEVELS[level], "%s", event_line(event, **pairs))
+
+
+def event_line(event: str, **pairs: object) -> str:
+    parts = [f"event={event}"]
+    parts += [f"{name}={_value(name, value)}" for name, value in pairs.items()]
+    return " ".join(parts)
+
+
+def configure_logs(verbose: bool = False) -> None:
+    """Send the log lines to standard error, with time and level in front."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
+    logging.set_stderrthreshold("debug")
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_LineFormatter())
+
+
+class _LineFormatter(standard_logging.Formatter):
+    """Also brings the lines of libraries into the shape of this program's."""
+
+    def format(self, record):
+        seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        level = record.levelname.lower()
+        message = record.getMessage()
+        if record.exc_info:
+            message += "\n" + self.formatException(record.exc_info)
+        if not message.startswith("event=") or "\n" in message:
+            message = event_line("library_log", logger=record.name, message=message)
+        return f"time={seconds}.{int(record.msecs):03d}Z level={level} {message}"
+
+
+def _value(name: str, value: object) -> str:
+    if _SECRET_NAME.fullmatch(name):
+        return "redacted"
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, bytes):
+        # Bytes may hold a caller's data or a key, so only their size is written.
+        return f"{len(value)}_bytes"
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
