--- a/testbed/store.py
+++ b/testbed/store.py
@@ -276,7 +276,8 @@
         value = self.request.body
         if len(value) > MAX_VALUE_BYTES:
             raise tornado.web.HTTPError(413, reason="value exceeds 1 MB")
-        query = {name: self.get_query_argument(name) for name in self.request.arguments}
+        names = self.request.query_arguments
+        query = {name: self.get_query_argument(name) for name in names}
         if "acquire" in query:
             done = self.data.acquire(key, value, query["acquire"])
         elif "release" in query:
