--- a/src/wisteriatiller/configstore.py
+++ b/src/wisteriatiller/configstore.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .config import Configuration
+from .config import ConfigSource, Configuration
 from .configrecord import (
     NO_RECORD,
     ConfigRecord,
@@ -235,13 +235,13 @@
 ConfigListener = Callable[[Configuration], None]
 
 
-class ConfigFollower:
+class ConfigFollower(ConfigSource):
     """The newest configuration on one host.
 
     ``run`` is the host's task; listeners are called with each new configuration::
 
         follower = ConfigFollower(environment, membership)
-        follower.on_change(ingress.set_configuration)
+        follower.subscribe(ingress.set_configuration)
         task = asyncio.create_task(follower.run())
     """
 
@@ -272,7 +272,7 @@
         """Whether this host watches the store and got no answer last time."""
         return self._store_away
 
-    def on_change(self, listener: ConfigListener) -> None:
+    def subscribe(self, listener: ConfigListener) -> None:
         self._listeners.append(listener)
 
     def watches_store(self) -> bool:
--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -139,6 +139,12 @@
             else:
                 self._dispatch(request)
 
+    def reconfigure(self, service: Service, upstream: Upstream) -> None:
+        """Take the service and upstream of a newer configuration."""
+        self.service = service
+        self.upstream = upstream
+        self.pump()
+
     def pause(self) -> None:
         """Stop dispatching; requests in flight go on."""
         self._paused = True
--- /dev/null
+++ b/src/wisteriatiller/flowservice.py
@@ -0,0 +1,74 @@
+"""Answers to other owners' questions about flows."""
+
+from .config import ConfigSource
+from .environment import Environment
+from .flowmessages import (
+    CheckAnswer,
+    CheckFlows,
+    ClaimAnswer,
+    ClaimFlow,
+    OpenAnswer,
+    OpenFlow,
+)
+from .flows import FlowRecord, FlowState
+from .ids import FlowKey, HostId, UpstreamId
+from .shardtable import ShardTable
+
+
+class FlowService:
+    """Handles claims, openings and checks for the shards of this host."""
+
+    def __init__(
+        self, environment: Environment, source: ConfigSource, shards: ShardTable
+    ):
+        self._environment = environment
+        self._source = source
+        self._shards = shards
+        environment.peers.register(ClaimFlow, self._handle_claim)
+        environment.peers.register(OpenFlow, self._handle_open)
+        environment.peers.register(CheckFlows, self._handle_check)
+
+    def _handle_claim(self, sender: HostId, claim: ClaimFlow) -> ClaimAnswer:
+        owned = self._shards.of_upstream(UpstreamId(claim.earlier_home))
+        flow_key = FlowKey(claim.flow_key)
+        if owned is None or flow_key in owned.opening:
+            return ClaimAnswer(False, "")
+        record = owned.flows.get(flow_key)
+        if record is None:
+            now_s = self._environment.clock.now_s()
+            released = FlowRecord(
+                FlowState.ELSEWHERE, UpstreamId(claim.new_home), now_s
+            )
+            owned.flows.put(flow_key, released)
+            return ClaimAnswer(True, "")
+        if record.upstream_id == claim.new_home:
+            return ClaimAnswer(True, "")
+        return ClaimAnswer(True, record.upstream_id)
+
+    def _handle_open(self, sender: HostId, message: OpenFlow) -> OpenAnswer:
+        upstream_id = UpstreamId(message.upstream_id)
+        owned = self._shards.of_upstream(upstream_id)
+        if owned is None or owned.stopping:
+            return OpenAnswer(False)
+        if not self._source.configuration.takes_new_flows(upstream_id):
+            return OpenAnswer(False)
+        flow_key = FlowKey(message.flow_key)
+        record = owned.flows.get(flow_key)
+        if record is None or record.state is not FlowState.OPEN:
+            now_s = self._environment.clock.now_s()
+            opened = FlowRecord(
+                FlowState.OPEN, upstream_id, now_s, owned.uncertain_until_s
+            )
+            owned.flows.put(flow_key, opened)
+        return OpenAnswer(True)
+
+    def _handle_check(self, sender: HostId, message: CheckFlows) -> CheckAnswer:
+        owned = self._shards.of_upstream(UpstreamId(message.upstream_id))
+        if owned is None:
+            return CheckAnswer(False, ())
+        open_keys = tuple(
+            flow_key
+            for flow_key in message.flow_keys
+            if owned.flows.get(FlowKey(flow_key)) is not None
+        )
+        return CheckAnswer(True, open_keys)
--- a/src/wisteriatiller/owner.py
+++ b/src/wisteriatiller/owner.py
@@ -6,30 +6,19 @@
 
 from . import coapcodec, proxyheader
 from .config import ConfigSource, Configuration, RequestMode, Service, Upstream
-from .dispatch import UpstreamDispatcher
-from .duplicates import EXCHANGE_LIFETIME_S
 from .environment import Environment
 from .exceptions import MessageError, check_invariant
 from .flowmessages import (
-    CheckAnswer,
-    CheckFlows,
-    ClaimAnswer,
-    ClaimFlow,
     Forward,
-    OpenAnswer,
-    OpenFlow,
     PinFlow,
 )
 from .flows import FlowRecord, FlowState
-from .health import PROBE_INTERVAL_S, UpstreamHealth
 from .ids import Address, CallerId, FlowKey, HostId, Revision, ShardId, UpstreamId
-from .lease import ShardLeases
-from .membership import Membership
 from .opening import FlowOpener
 from .outcomes import OutcomeUnknown, Reason, Refused
 from .ownership import Ownership
-from .ports import DatagramPort
 from .shard import OwnedShard
+from .shardtable import ShardTable
 
 MAX_HOPS = 5
 # A request that finds no owner is tried again for this long: a planned hand-over
@@ -37,9 +26,6 @@
 OWNER_WAIT_S = 1.0
 OWNER_RETRY_S = 0.05
 CATCH_UP_TIMEOUT_S = 0.3
-SWEEP_INTERVAL_S = 5.0
-CHECK_BATCH = 500
-CHECK_TIMEOUT_S = 1.0
 
 AnswerCaller = Callable[[FlowKey, bytes], None]
 
@@ -50,44 +36,22 @@
     def __init__(
         self,
         environment: Environment,
-        membership: Membership,
         ownership: Ownership,
-        leases: ShardLeases,
         source: ConfigSource,
+        shards: ShardTable,
         opener: FlowOpener,
         answer: AnswerCaller,
     ):
-        self.shards: dict[ShardId, OwnedShard] = {}
-        self.upstream_port: DatagramPort | None = None
         self.pin_flow: Callable[[FlowKey, UpstreamId], None] = lambda key, to: None
         self._environment = environment
         self._host_id = environment.settings.host_id
-        self._membership = membership
         self._ownership = ownership
-        self._leases = leases
         self._source = source
+        self._shards = shards
         self._opener = opener
         self._answer = answer
         self._tasks: set[asyncio.Task] = set()
-        peers = environment.peers
-        peers.register(Forward, self.receive)
-        peers.register(ClaimFlow, self._handle_claim)
-        peers.register(OpenFlow, self._handle_open)
-        peers.register(CheckFlows, self._handle_check)
-
-    # Shards
-
-    def acquire(self, shard: ShardId, epoch: int) -> OwnedShard:
-        """Start serving a shard whose lease this host now holds."""
-        owned = self.shards.get(shard)
-        if owned is None:
-            owned = self.shards[shard] = OwnedShard(shard, self._leases)
-        self._ownership.publish_owner(shard, epoch)
-        return owned
-
-    def lose(self, shard: ShardId) -> None:
-        """Stop serving a shard."""
-        self.shards.pop(shard, None)
+        environment.peers.register(Forward, self.receive)
 
     # Datagrams of callers
 
@@ -117,8 +81,8 @@
             upstream=upstream.upstream_id,
             service=service.service_id,
         )
-        owned = self.shards.get(configuration.shard_of(upstream))
-        if owned is None or owned.lease_remaining_s() <= 0:
+        owned = self._shards.get(configuration.shard_of(upstream))
+        if owned is None:
             self._pass_to_owner(forward, configuration.shard_of(upstream))
             return
         record = owned.flows.get(FlowKey(forward.flow_key))
@@ -153,9 +117,11 @@
         upstream = self._source.configuration.upstreams[record.upstream_id]
         flow_key = FlowKey(forward.flow_key)
         if service.mode is RequestMode.OPAQUE:
-            self._send(upstream, proxyheader.make_header(flow_key) + forward.payload)
+            self._shards.send(
+                upstream, proxyheader.make_header(flow_key) + forward.payload
+            )
             return
-        dispatcher = self._dispatcher(owned, upstream)
+        dispatcher = self._shards.dispatcher(owned, upstream)
         try:
             if self._may_have_run(record, dispatcher, forward):
                 return
@@ -254,54 +220,6 @@
         record = FlowRecord(FlowState.ELSEWHERE, upstream_id, self._now_s())
         owned.flows.put(flow_key, record)
 
-    # Questions of other owners
-
-    def _handle_claim(self, sender: HostId, claim: ClaimFlow) -> ClaimAnswer:
-        owned = self._owned(UpstreamId(claim.earlier_home))
-        flow_key = FlowKey(claim.flow_key)
-        if owned is None or flow_key in owned.opening:
-            return ClaimAnswer(False, "")
-        record = owned.flows.get(flow_key)
-        if record is None:
-            self._put_elsewhere(owned, flow_key, UpstreamId(claim.new_home))
-            return ClaimAnswer(True, "")
-        if record.upstream_id == claim.new_home:
-            return ClaimAnswer(True, "")
-        return ClaimAnswer(True, record.upstream_id)
-
-    def _handle_open(self, sender: HostId, message: OpenFlow) -> OpenAnswer:
-        upstream_id = UpstreamId(message.upstream_id)
-        owned = self._owned(upstream_id)
-        if owned is None or owned.stopping:
-            return OpenAnswer(False)
-        if not self._source.configuration.takes_new_flows(upstream_id):
-            return OpenAnswer(False)
-        record = owned.flows.get(FlowKey(message.flow_key))
-        if record is None or record.state is not FlowState.OPEN:
-            self._put_open(owned, FlowKey(message.flow_key), upstream_id)
-        return OpenAnswer(True)
-
-    def _handle_check(self, sender: HostId, message: CheckFlows) -> CheckAnswer:
-        owned = self._owned(UpstreamId(message.upstream_id))
-        if owned is None:
-            return CheckAnswer(False, ())
-        open_keys = tuple(
-            flow_key
-            for flow_key in message.flow_keys
-            if owned.flows.get(FlowKey(flow_key)) is not None
-        )
-        return CheckAnswer(True, open_keys)
-
-    def _owned(self, upstream_id: UpstreamId) -> OwnedShard | None:
-        configuration = self._source.configuration
-        upstream = configuration.upstreams.get(upstream_id)
-        if upstream is None:
-            return None
-        owned = self.shards.get(configuration.shard_of(upstream))
-        if owned is None or owned.lease_remaining_s() <= 0:
-            return None
-        return owned
-
     # Datagrams of upstreams
 
     def receive_from_upstream(self, data: bytes, address: Address) -> None:
@@ -320,10 +238,10 @@
             self._environment.metrics.count("owner.bad_upstream_datagrams")
 
     def _probe_answer(self, upstream: Upstream, header: bytes) -> None:
-        owned = self._owned(upstream.upstream_id)
+        owned = self._shards.of_upstream(upstream.upstream_id)
         local = proxyheader.parse(header)
         if owned is not None and isinstance(local, proxyheader.LocalHeader):
-            self._dispatcher(owned, upstream).health.handle_probe_answer(local)
+            self._shards.dispatcher(owned, upstream).health.handle_probe_answer(local)
 
     def _response(self, upstream: Upstream, header: bytes, payload: bytes) -> None:
         flow_key = proxyheader.reversed_key(proxyheader.flow_key(header))
@@ -335,10 +253,7 @@
         if service.mode is RequestMode.OPAQUE:
             self._answer(flow_key, payload)
             return
-        shard = self._source.configuration.shard_of(upstream)
-        owned = self.shards.get(shard)
-        if owned is not None and upstream.upstream_id in owned.dispatchers:
-            owned.dispatchers[upstream.upstream_id].handle_response(flow_key, payload)
+        self._shards.handle_response(upstream, flow_key, payload)
 
     # Sending
 
@@ -373,10 +288,6 @@
             message = PinFlow(forward.flow_key, upstream_id)
             self._environment.peers.send(HostId(forward.ingress), message)
 
-    def _send(self, upstream: Upstream, data: bytes) -> None:
-        check_invariant(self.upstream_port is not None, "upstream_port_is_open")
-        self.upstream_port.send(data, upstream.address)
-
     def _give_up(self, forward: Forward, reason: Reason) -> None:
         """Answer a request for which this host cannot say that it did not run.
 
@@ -405,102 +316,6 @@
         if head.is_request:
             self._answer(FlowKey(forward.flow_key), build(head))
 
-    # Upkeep
-
-    async def probe_upstreams(self) -> None:
-        """Probe every upstream of the owned shards until cancelled."""
-        while True:
-            for owned in list(self.shards.values()):
-                for upstream in self._upstreams_of(owned.shard):
-                    dispatcher = self._dispatcher(owned, upstream)
-                    self._send(upstream, dispatcher.health.probe())
-            await asyncio.sleep(PROBE_INTERVAL_S)
-
-    async def sweep(self) -> None:
-        """Expire idle flows and old request records until cancelled."""
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
-            for owned in list(self.shards.values()):
-                owned.duplicates.expire(self._now_s())
-                await self._expire_flows(owned)
-
-    async def _expire_flows(self, owned: OwnedShard) -> None:
-        configuration = self._source.configuration
-        now_s = self._now_s()
-        elsewhere: dict[UpstreamId, list[FlowKey]] = {}
-        for flow_key, record in list(owned.flows):
-            idle_s = self._idle_limit_s(configuration, record)
-            if now_s - record.last_seen_s <= idle_s:
-                continue
-            if record.state is FlowState.ELSEWHERE:
-                elsewhere.setdefault(record.upstream_id, []).append(flow_key)
-            else:
-                owned.flows.remove(flow_key)
-        for upstream_id, flow_keys in elsewhere.items():
-            for start in range(0, len(flow_keys), CHECK_BATCH):
-                batch = flow_keys[start : start + CHECK_BATCH]
-                await self._expire_elsewhere(owned, upstream_id, batch)
-
-    async def _expire_elsewhere(self, owned, upstream_id, flow_keys) -> None:
-        """Drop records of flows that their upstream's owner no longer has open."""
-        configuration = self._source.configuration
-        upstream = configuration.upstreams.get(upstream_id)
-        if upstream is None:
-            for flow_key in flow_keys:
-                owned.flows.remove(flow_key)
-            return
-        owner = self._ownership.owner(configuration.shard_of(upstream))
-        if owner is None:
-            return
-        message = CheckFlows(upstream_id, tuple(flow_keys))
-        answer = await self._environment.peers.call(owner, message, CHECK_TIMEOUT_S)
-        if not isinstance(answer, CheckAnswer) or not answer.owned:
-            return
-        still_open = set(answer.open_keys)
-        now_s = self._now_s()
-        for flow_key in flow_keys:
-            record = owned.flows.get(flow_key)
-            if record is None:
-                continue
-            if flow_key in still_open:
-                record.last_seen_s = now_s
-            else:
-                owned.flows.remove(flow_key)
-
-    def _idle_limit_s(self, configuration: Configuration, record: FlowRecord) -> float:
-        if record.state is FlowState.LOST:
-            return EXCHANGE_LIFETIME_S
-        upstream = configuration.upstreams.get(record.upstream_id)
-        service = upstream and configuration.services.get(upstream.service_id)
-        return service.flow_idle_s if service else EXCHANGE_LIFETIME_S
-
-    def _upstreams_of(self, shard: ShardId) -> list[Upstream]:
-        configuration = self._source.configuration
-        return [
-            upstream
-            for upstream in configuration.upstreams.values()
-            if upstream.zone == shard.zone
-            and configuration.shard_of(upstream) == shard
-            and upstream.service_id in configuration.services
-        ]
-
-    def _dispatcher(self, owned: OwnedShard, upstream: Upstream) -> UpstreamDispatcher:
-        dispatcher = owned.dispatchers.get(upstream.upstream_id)
-        if dispatcher is None:
-            service = self._source.configuration.services[upstream.service_id]
-            dispatcher = UpstreamDispatcher(
-                self._environment,
-                service,
-                upstream,
-                owned.duplicates,
-                owned,
-                UpstreamHealth(self._environment, upstream.upstream_id),
-                lambda data: self._send(upstream, data),
-                self._answer,
-            )
-            owned.dispatchers[upstream.upstream_id] = dispatcher
-        return dispatcher
-
     def _service_of(
         self, forward: Forward, configuration: Configuration
     ) -> Service | None:
--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -5,6 +5,7 @@
 
 from .config import ConfigSource
 from .environment import Environment
+from .flowservice import FlowService
 from .ids import Address, FlowKey, ShardId
 from .ingress import Ingress
 from .lease import ShardLeases
@@ -13,7 +14,9 @@
 from .owner import Owner
 from .ownership import Ownership
 from .ports import DatagramPort
+from .shardtable import ShardTable
 from .tasks import spawn
+from .upkeep import Upkeep
 
 
 class Host:
@@ -32,31 +35,33 @@
         self.leases = leases
         self.source = source
         self.ownership = Ownership(environment, membership)
+        self.shards = ShardTable(environment, source, leases, self._answer)
+        self.upkeep = Upkeep(environment, source, self.ownership, self.shards)
+        self.flow_service = FlowService(environment, source, self.shards)
         opener = FlowOpener(environment, membership, self.ownership, source, chooser)
         self.owner = Owner(
             environment,
-            membership,
             self.ownership,
-            leases,
             source,
+            self.shards,
             opener,
             self._answer,
         )
         self.ingress = Ingress(environment, source, self.owner)
         self._ports: list[DatagramPort] = []
         self._tasks: list[asyncio.Task] = []
-        leases.on_acquired = self.owner.acquire
+        leases.on_acquired = self.lease_acquired
         leases.on_lost = self._lease_lost
 
     async def start(self) -> None:
         """Open the data ports; the fabric's comes last, when all else is ready."""
         settings = self.environment.settings
-        self.owner.upstream_port = await self._open(
+        self.shards.upstream_port = await self._open(
             settings.upstream_listen, self.owner.receive_from_upstream
         )
-        self.ingress.upstream_port = self.owner.upstream_port
-        self._run(self.owner.probe_upstreams(), "probe upstreams")
-        self._run(self.owner.sweep(), "sweep")
+        self.ingress.upstream_port = self.shards.upstream_port
+        self._run(self.upkeep.probe_upstreams(), "probe upstreams")
+        self._run(self.upkeep.sweep(), "sweep")
         self.ingress.fabric_port = await self._open(
             settings.fabric_listen, self.ingress.receive
         )
@@ -68,11 +73,16 @@
         for port in self._ports:
             port.close()
 
+    def lease_acquired(self, shard: ShardId, epoch: int) -> None:
+        """Start serving a shard whose lease this host now holds."""
+        self.shards.add(shard)
+        self.ownership.publish_owner(shard, epoch)
+
     def _answer(self, flow_key: FlowKey, payload: bytes) -> None:
         self.ingress.answer(flow_key, payload)
 
     def _lease_lost(self, shard: ShardId, epoch: int) -> None:
-        self.owner.lose(shard)
+        self.shards.remove(shard)
 
     async def _open(self, address: Address, receive) -> DatagramPort:
         port = await self.environment.datagrams.open(address, receive)
--- /dev/null
+++ b/src/wisteriatiller/shardtable.py
@@ -0,0 +1,116 @@
+"""The ownership shards that this host leases, and the way to their upstreams."""
+
+from collections.abc import Iterator
+
+from .config import ConfigSource, Configuration, Upstream
+from .dispatch import UpstreamDispatcher
+from .environment import Environment
+from .exceptions import check_invariant
+from .health import UpstreamHealth
+from .ids import FlowKey, ShardId, UpstreamId
+from .lease import ShardLeases
+from .ports import DatagramPort
+from .shard import OwnedShard
+
+
+class ShardTable:
+    """Owned shards by id and by upstream, with the dispatchers of their upstreams."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        source: ConfigSource,
+        leases: ShardLeases,
+        answer,
+    ):
+        self.upstream_port: DatagramPort | None = None
+        self._environment = environment
+        self._source = source
+        self._leases = leases
+        self._answer = answer
+        self._shards: dict[ShardId, OwnedShard] = {}
+        source.subscribe(self._reconfigure)
+
+    def __iter__(self) -> Iterator[OwnedShard]:
+        return iter(tuple(self._shards.values()))
+
+    def __contains__(self, shard: ShardId) -> bool:
+        return shard in self._shards
+
+    def add(self, shard: ShardId) -> OwnedShard:
+        owned = self._shards.get(shard)
+        if owned is None:
+            owned = self._shards[shard] = OwnedShard(shard, self._leases)
+        return owned
+
+    def remove(self, shard: ShardId) -> None:
+        self._shards.pop(shard, None)
+
+    def get(self, shard: ShardId) -> OwnedShard | None:
+        """The shard, if this host holds its lease now."""
+        owned = self._shards.get(shard)
+        if owned is None or owned.lease_remaining_s() <= 0:
+            return None
+        return owned
+
+    def of_upstream(self, upstream_id: UpstreamId) -> OwnedShard | None:
+        """The shard of an upstream, if this host holds its lease now."""
+        configuration = self._source.configuration
+        upstream = configuration.upstreams.get(upstream_id)
+        if upstream is None:
+            return None
+        return self.get(configuration.shard_of(upstream))
+
+    def upstreams_of(self, owned: OwnedShard) -> list[Upstream]:
+        configuration = self._source.configuration
+        return [
+            upstream
+            for upstream in configuration.upstreams.values()
+            if upstream.zone == owned.shard.zone
+            and configuration.shard_of(upstream) == owned.shard
+            and upstream.service_id in configuration.services
+        ]
+
+    def dispatcher(self, owned: OwnedShard, upstream: Upstream) -> UpstreamDispatcher:
+        """The dispatcher of an upstream of the shard, made at its first use."""
+        dispatcher = owned.dispatchers.get(upstream.upstream_id)
+        if dispatcher is None:
+            service = self._source.configuration.services[upstream.service_id]
+            dispatcher = UpstreamDispatcher(
+                self._environment,
+                service,
+                upstream,
+                owned.duplicates,
+                owned,
+                UpstreamHealth(self._environment, upstream.upstream_id),
+                lambda data: self.send(upstream, data),
+                self._answer,
+            )
+            owned.dispatchers[upstream.upstream_id] = dispatcher
+        return dispatcher
+
+    def handle_response(
+        self, upstream: Upstream, flow_key: FlowKey, payload: bytes
+    ) -> None:
+        """Pass an upstream's answer to the dispatcher that sent the request.
+
+        The lease need not be held any more: an answer in flight is still delivered.
+        """
+        owned = self._shards.get(self._source.configuration.shard_of(upstream))
+        if owned is not None and upstream.upstream_id in owned.dispatchers:
+            owned.dispatchers[upstream.upstream_id].handle_response(flow_key, payload)
+
+    def send(self, upstream: Upstream, data: bytes) -> None:
+        check_invariant(self.upstream_port is not None, "upstream_port_is_open")
+        self.upstream_port.send(data, upstream.address)
+
+    def _reconfigure(self, configuration: Configuration) -> None:
+        for owned in self._shards.values():
+            for upstream_id, dispatcher in owned.dispatchers.items():
+                upstream = configuration.upstreams.get(upstream_id)
+                if upstream is None or upstream.service_id not in (
+                    configuration.services
+                ):
+                    continue
+                service = configuration.services[upstream.service_id]
+                dispatcher.reconfigure(service, upstream)
--- /dev/null
+++ b/src/wisteriatiller/upkeep.py
@@ -0,0 +1,113 @@
+"""Upkeep of the owned shards: health probes and expiry of idle records."""
+
+import asyncio
+
+from .config import ConfigSource, Configuration
+from .duplicates import EXCHANGE_LIFETIME_S
+from .environment import Environment
+from .flowmessages import CheckAnswer, CheckFlows
+from .flows import FlowRecord, FlowState
+from .health import PROBE_INTERVAL_S
+from .ids import FlowKey, UpstreamId
+from .ownership import Ownership
+from .shard import OwnedShard
+from .shardtable import ShardTable
+
+SWEEP_INTERVAL_S = 5.0
+CHECK_BATCH = 500
+CHECK_TIMEOUT_S = 1.0
+
+
+class Upkeep:
+    """Runs ``probe_upstreams`` and ``sweep`` as tasks of the host."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        source: ConfigSource,
+        ownership: Ownership,
+        shards: ShardTable,
+    ):
+        self._environment = environment
+        self._source = source
+        self._ownership = ownership
+        self._shards = shards
+
+    async def probe_upstreams(self) -> None:
+        """Probe every upstream of the owned shards until cancelled."""
+        while True:
+            for owned in self._shards:
+                for upstream in self._shards.upstreams_of(owned):
+                    dispatcher = self._shards.dispatcher(owned, upstream)
+                    self._shards.send(upstream, dispatcher.health.probe())
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
+    async def sweep(self) -> None:
+        """Expire idle flows and old request records until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            for owned in self._shards:
+                owned.duplicates.expire(self._now_s())
+                await self._expire_flows(owned)
+
+    async def _expire_flows(self, owned: OwnedShard) -> None:
+        configuration = self._source.configuration
+        now_s = self._now_s()
+        elsewhere: dict[UpstreamId, list[FlowKey]] = {}
+        for flow_key, record in list(owned.flows):
+            idle_s = _idle_limit_s(configuration, record)
+            if now_s - record.last_seen_s <= idle_s:
+                continue
+            if record.state is FlowState.ELSEWHERE:
+                elsewhere.setdefault(record.upstream_id, []).append(flow_key)
+            else:
+                owned.flows.remove(flow_key)
+        for upstream_id, flow_keys in elsewhere.items():
+            for start in range(0, len(flow_keys), CHECK_BATCH):
+                batch = flow_keys[start : start + CHECK_BATCH]
+                await self._expire_elsewhere(owned, upstream_id, batch)
+
+    async def _expire_elsewhere(
+        self, owned: OwnedShard, upstream_id: UpstreamId, flow_keys: list[FlowKey]
+    ) -> None:
+        """Drop records of flows that their upstream's owner no longer has open."""
+        still_open = await self._still_open(upstream_id, flow_keys)
+        if still_open is None:
+            return
+        now_s = self._now_s()
+        for flow_key in flow_keys:
+            record = owned.flows.get(flow_key)
+            if record is None:
+                continue
+            if flow_key in still_open:
+                record.last_seen_s = now_s
+            else:
+                owned.flows.remove(flow_key)
+
+    async def _still_open(
+        self, upstream_id: UpstreamId, flow_keys: list[FlowKey]
+    ) -> set[bytes] | None:
+        """The flows that the owner of the upstream has; None without an answer."""
+        configuration = self._source.configuration
+        upstream = configuration.upstreams.get(upstream_id)
+        if upstream is None:
+            return set()
+        owner = self._ownership.owner(configuration.shard_of(upstream))
+        if owner is None:
+            return None
+        message = CheckFlows(upstream_id, tuple(flow_keys))
+        answer = await self._environment.peers.call(owner, message, CHECK_TIMEOUT_S)
+        if not isinstance(answer, CheckAnswer) or not answer.owned:
+            return None
+        return set(answer.open_keys)
+
+    def _now_s(self) -> float:
+        return self._environment.clock.now_s()
+
+
+def _idle_limit_s(configuration: Configuration, record: FlowRecord) -> float:
+    if record.state is FlowState.LOST:
+        return EXCHANGE_LIFETIME_S
+    upstream = configuration.upstreams.get(record.upstream_id)
+    service = upstream and configuration.services.get(upstream.service_id)
+    return service.flow_idle_s if service else EXCHANGE_LIFETIME_S
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -133,7 +133,7 @@
             for upstream in configuration.upstreams.values()
         }:
             if ownership.is_first(shard):
-                host.owner.acquire(shard, 1)
+                host.lease_acquired(shard, 1)
         return host
 
     def update_fabric(self) -> None:
