--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -112,6 +112,12 @@
         self._duplicates.put(request.key, request.record)
         self._finish_unknown(request, reason)
 
+    def refuse(self, flow_key: FlowKey, head: CoapHead, outcome: Refused) -> None:
+        """Give a new request that is not run its final answer."""
+        request = self._new_request(flow_key, CallerId(""), head, b"")
+        self._duplicates.put(request.key, request.record)
+        self._finish_refused(request, outcome)
+
     def handle_response(self, flow_key: FlowKey, payload: bytes) -> None:
         """Take a datagram of the upstream."""
         head = coapcodec.read_head(payload)
--- a/src/wisteriatiller/flowmessages.py
+++ b/src/wisteriatiller/flowmessages.py
@@ -50,11 +50,15 @@
 
 @message(44)
 class OpenFlow(Message):
-    """Asks the owner of an upstream to open a flow away from its home."""
+    """Asks the owner of an upstream to open a flow away from its home.
+
+    ``certain`` is False if the flow may be open elsewhere, at a home that is cut off.
+    """
 
     flow_key: bytes
     upstream_id: str
     revision: int
+    certain: bool
 
 
 @message(45)
@@ -78,3 +82,22 @@
 
     owned: bool
     open_keys: tuple
+
+
+@message(48)
+class PlacedFlows(Message):
+    """Tells the owner of a home where flows were opened while it was cut off.
+
+    ``placements`` holds pairs of flow key and upstream id.
+    """
+
+    home: str
+    placements: tuple
+
+
+@message(49)
+class PlacedAnswer(Message):
+    """The flows of a ``PlacedFlows`` that were open at their home all the time."""
+
+    owned: bool
+    open_at_home: tuple
--- a/src/wisteriatiller/flows.py
+++ b/src/wisteriatiller/flows.py
@@ -20,15 +20,19 @@
     """One flow.
 
     ``OPEN``: on an upstream of this shard. ``ELSEWHERE``: placed on, or released to,
-    an upstream of another shard. ``LOST``: its upstream died; it is not placed again
-    until the record expires. Until ``uncertain_until_s``, a request of the flow may
-    have run under an owner whose records this host does not have.
+    an upstream of another shard. ``LOST``: its upstream died, and the flow is placed
+    anew only after the caller has been told. Until ``uncertain_until_s``, a request of
+    the flow may have run under an owner whose records this host does not have.
+    ``replaced`` marks a flow that was open in this shard before: repeats of its
+    earlier requests must be answered from this shard's duplicate table.
     """
 
     state: FlowState
     upstream_id: UpstreamId
     last_seen_s: float
     uncertain_until_s: float = 0.0
+    told_lost: bool = False
+    replaced: bool = False
 
 
 class FlowTable:
@@ -61,6 +65,18 @@
         if record is not None and record.state is FlowState.OPEN:
             self._count(record.upstream_id, -1)
 
+    def lose(self, upstream_id: UpstreamId) -> int:
+        """Mark the open flows of a dead upstream as lost; return their number."""
+        lost = [
+            record
+            for record in self._records.values()
+            if record.state is FlowState.OPEN and record.upstream_id == upstream_id
+        ]
+        for record in lost:
+            record.state = FlowState.LOST
+        self._count(upstream_id, -len(lost))
+        return len(lost)
+
     def idle(self, now_s: float, idle_s: float) -> list[FlowKey]:
         """Keys of the records not used for ``idle_s``."""
         return [
--- a/src/wisteriatiller/flowservice.py
+++ b/src/wisteriatiller/flowservice.py
@@ -1,6 +1,7 @@
 """Answers to other owners' questions about flows."""
 
 from .config import ConfigSource
+from .duplicates import EXCHANGE_LIFETIME_S
 from .environment import Environment
 from .flowmessages import (
     CheckAnswer,
@@ -9,6 +10,8 @@
     ClaimFlow,
     OpenAnswer,
     OpenFlow,
+    PlacedAnswer,
+    PlacedFlows,
 )
 from .flows import FlowRecord, FlowState
 from .ids import FlowKey, HostId, UpstreamId
@@ -27,6 +30,7 @@
         environment.peers.register(ClaimFlow, self._handle_claim)
         environment.peers.register(OpenFlow, self._handle_open)
         environment.peers.register(CheckFlows, self._handle_check)
+        environment.peers.register(PlacedFlows, self._handle_placed)
 
     def _handle_claim(self, sender: HostId, claim: ClaimFlow) -> ClaimAnswer:
         owned = self._shards.of_upstream(UpstreamId(claim.earlier_home))
@@ -56,12 +60,29 @@
         record = owned.flows.get(flow_key)
         if record is None or record.state is not FlowState.OPEN:
             now_s = self._environment.clock.now_s()
-            opened = FlowRecord(
-                FlowState.OPEN, upstream_id, now_s, owned.uncertain_until_s
-            )
+            uncertain_until_s = owned.uncertain_until_s
+            if not message.certain:
+                uncertain_until_s = now_s + EXCHANGE_LIFETIME_S
+            opened = FlowRecord(FlowState.OPEN, upstream_id, now_s, uncertain_until_s)
             owned.flows.put(flow_key, opened)
         return OpenAnswer(True)
 
+    def _handle_placed(self, sender: HostId, message: PlacedFlows) -> PlacedAnswer:
+        """Learn where flows went during a cut; a flow that is open here stays."""
+        owned = self._shards.of_upstream(UpstreamId(message.home))
+        if owned is None:
+            return PlacedAnswer(False, ())
+        now_s = self._environment.clock.now_s()
+        open_at_home = []
+        for flow_key, upstream_id in message.placements:
+            record = owned.flows.get(FlowKey(flow_key))
+            if record is not None and record.upstream_id != upstream_id:
+                open_at_home.append(flow_key)
+            elif record is None:
+                placed = FlowRecord(FlowState.ELSEWHERE, UpstreamId(upstream_id), now_s)
+                owned.flows.put(FlowKey(flow_key), placed)
+        return PlacedAnswer(True, tuple(open_at_home))
+
     def _handle_check(self, sender: HostId, message: CheckFlows) -> CheckAnswer:
         owned = self._shards.of_upstream(UpstreamId(message.upstream_id))
         if owned is None:
--- /dev/null
+++ b/src/wisteriatiller/healing.py
@@ -0,0 +1,103 @@
+"""After a partition: homes learn where their flows were opened meanwhile."""
+
+import asyncio
+
+from .config import ConfigSource
+from .environment import Environment
+from .flowmessages import PlacedAnswer, PlacedFlows
+from .flows import FlowRecord, FlowState
+from .homes import Homes
+from .ids import FlowKey, UpstreamId, ZoneId
+from .membership import Membership
+from .ownership import Ownership
+from .shard import OwnedShard
+from .shardtable import ShardTable
+
+CHECK_INTERVAL_S = 0.5
+REPORT_BATCH = 500
+REPORT_TIMEOUT_S = 1.0
+REPORT_ATTEMPTS = 10
+
+
+class ZoneHealing:
+    """Reports the flows opened during a cut to their homes once it is over.
+
+    A flow that was open at its home all the time goes back there, since the home's
+    upstream has its session. Otherwise it stays where it was opened.
+    """
+
+    def __init__(
+        self,
+        environment: Environment,
+        membership: Membership,
+        ownership: Ownership,
+        source: ConfigSource,
+        homes: Homes,
+        shards: ShardTable,
+    ):
+        self._environment = environment
+        self._membership = membership
+        self._ownership = ownership
+        self._source = source
+        self._homes = homes
+        self._shards = shards
+
+    async def run(self) -> None:
+        """Report after each cut until cancelled."""
+        cut_off: set[ZoneId] = set()
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            zones = {u.zone for u in self._source.configuration.upstreams.values()}
+            healed = {zone for zone in cut_off if self._membership.zone_reachable(zone)}
+            cut_off = {z for z in zones if not self._membership.zone_reachable(z)}
+            if healed:
+                for owned in self._shards:
+                    await self._report(owned, healed)
+
+    async def _report(self, owned: OwnedShard, zones: set[ZoneId]) -> None:
+        for home, placements in self._placements(owned, zones).items():
+            for start in range(0, len(placements), REPORT_BATCH):
+                batch = tuple(placements[start : start + REPORT_BATCH])
+                await self._report_batch(owned, PlacedFlows(home, batch))
+
+    def _placements(
+        self, owned: OwnedShard, zones: set[ZoneId]
+    ) -> dict[UpstreamId, list[tuple[FlowKey, UpstreamId]]]:
+        """Flows open in the shard whose home is in one of the zones, by home."""
+        configuration = self._source.configuration
+        placements: dict[UpstreamId, list] = {}
+        for flow_key, record in owned.flows:
+            upstream = configuration.upstreams.get(record.upstream_id)
+            if record.state is not FlowState.OPEN or upstream is None:
+                continue
+            home = self._homes.home(upstream.service_id, flow_key)
+            if home in (None, record.upstream_id):
+                continue
+            if configuration.upstreams[home].zone in zones:
+                placements.setdefault(home, []).append((flow_key, record.upstream_id))
+        return placements
+
+    async def _report_batch(self, owned: OwnedShard, message: PlacedFlows) -> None:
+        configuration = self._source.configuration
+        home = UpstreamId(message.home)
+        for _ in range(REPORT_ATTEMPTS):
+            owner = self._ownership.owner(
+                configuration.shard_of(configuration.upstreams[home])
+            )
+            if owner is not None:
+                answer = await self._environment.peers.call(
+                    owner, message, REPORT_TIMEOUT_S
+                )
+                if isinstance(answer, PlacedAnswer) and answer.owned:
+                    self._return_flows(owned, home, answer.open_at_home)
+                    return
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def _return_flows(self, owned: OwnedShard, home: UpstreamId, flow_keys) -> None:
+        now_s = self._environment.clock.now_s()
+        for flow_key in flow_keys:
+            # Repeats of requests that ran here are still answered from here.
+            record = FlowRecord(FlowState.ELSEWHERE, home, now_s, replaced=True)
+            owned.flows.put(FlowKey(flow_key), record)
+        if flow_keys:
+            self._environment.metrics.count("flows.returned_home", len(flow_keys))
--- a/src/wisteriatiller/ingress.py
+++ b/src/wisteriatiller/ingress.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass
 
 from . import proxyheader
-from .config import ConfigSource, Configuration, RequestMode
+from .config import ConfigSource, Configuration, RequestMode, Service
 from .environment import Environment
 from .exceptions import MessageError
 from .flowmessages import Forward, PinFlow
+from .homes import Homes
 from .ids import Address, FlowKey, HostId, UpstreamId
 from .owner import Owner
 from .ports import DatagramPort
@@ -15,6 +16,7 @@
 # owner's record does not idle out while datagrams bypass the owner.
 PIN_REFRESH_S = 30.0
 MAX_PINS = 200_000
+MAX_REMOTE_FLOWS = 200_000
 
 
 @dataclass(slots=True)
@@ -28,17 +30,44 @@
     last_used_s: float
 
 
+class RecentFlows:
+    """Remembers by hash when flows were last seen, the latest ``limit`` of them."""
+
+    def __init__(self, limit: int):
+        self._limit = limit
+        self._seen_s: dict[int, float] = {}
+
+    def add(self, flow_key: FlowKey, now_s: float) -> None:
+        key = hash(flow_key)
+        # Removal first moves a flow to the end, so that the oldest stays in front.
+        self._seen_s.pop(key, None)
+        self._seen_s[key] = now_s
+        if len(self._seen_s) > self._limit:
+            del self._seen_s[next(iter(self._seen_s))]
+
+    def seen(self, flow_key: FlowKey, since_s: float) -> bool:
+        return self._seen_s.get(hash(flow_key), 0.0) >= since_s
+
+
 class Ingress:
     """Hashes flows to upstreams and caches what owners decided otherwise."""
 
-    def __init__(self, environment: Environment, source: ConfigSource, owner: Owner):
+    def __init__(
+        self,
+        environment: Environment,
+        source: ConfigSource,
+        homes: Homes,
+        owner: Owner,
+    ):
         self.fabric_port: DatagramPort | None = None
         self.upstream_port: DatagramPort | None = None
         self._environment = environment
         self._host_id = environment.settings.host_id
         self._source = source
+        self._homes = homes
         self._owner = owner
         self._pins: dict[bytes, Pin] = {}
+        self._remote_flows = RecentFlows(MAX_REMOTE_FLOWS)
         self._next_return = 0
         source.subscribe(self._drop_pins_of_removed)
         owner.pin_flow = self.pin
@@ -111,8 +140,10 @@
         )
         if service is None:
             raise MessageError("unknown service address")
-        home = configuration.tables[service.service_id].home(flow_key)
-        upstream_id = pin.upstream_id if pin is not None else home
+        if pin is not None:
+            upstream_id = pin.upstream_id
+        else:
+            upstream_id = self._find_home(service, flow_key)
         if upstream_id is None:
             # Every upstream drains; the owner of any of them refuses new flows.
             upstream_id = next(iter(service.upstreams))
@@ -128,6 +159,26 @@
         )
         self._owner.receive(self._host_id, forward)
 
+    def _find_home(self, service: Service, flow_key: FlowKey) -> UpstreamId | None:
+        """The home of a flow without a pin.
+
+        A flow that was seen before its home's zone was cut off keeps its home, and
+        its requests are refused; only a new flow goes to a reachable upstream.
+        """
+        home = self._homes.home(service.service_id, flow_key)
+        if home is None:
+            return None
+        upstream = self._source.configuration.upstreams[home]
+        if upstream.zone == self._environment.settings.zone:
+            return home
+        now_s = self._environment.clock.now_s()
+        if self._homes.is_reachable(home):
+            self._remote_flows.add(flow_key, now_s)
+            return home
+        if self._remote_flows.seen(flow_key, now_s - service.flow_idle_s):
+            return home
+        return self._homes.reachable_home(service.service_id, flow_key)
+
     def _handle_pin(self, sender: HostId, message: PinFlow) -> None:
         self.pin(FlowKey(message.flow_key), UpstreamId(message.upstream_id))
 
--- a/src/wisteriatiller/membership.py
+++ b/src/wisteriatiller/membership.py
@@ -20,6 +20,10 @@
     def is_live(self, host_id: HostId) -> bool:
         """Whether the host answers probes; a leaving host still counts."""
 
+    @abstractmethod
+    def zone_reachable(self, zone: ZoneId) -> bool:
+        """Whether any host of the zone answered lately."""
+
     @abstractmethod
     def address_of(self, host_id: HostId) -> Address | None: ...
 
@@ -50,6 +54,9 @@
     def is_live(self, host_id):
         return host_id in self._hosts
 
+    def zone_reachable(self, zone):
+        return True
+
     def address_of(self, host_id):
         seed = self._hosts.get(host_id)
         return seed.address if seed else None
--- a/src/wisteriatiller/opening.py
+++ b/src/wisteriatiller/opening.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 
 from .config import ConfigSource, Service
 from .environment import Environment
 from .flowmessages import ClaimAnswer, ClaimFlow, Forward, OpenAnswer, OpenFlow
+from .homes import Homes
 from .ids import FlowKey, UpstreamId
-from .membership import Membership
 from .outcomes import OutcomeUnknown, Reason
 from .ownership import Ownership
 from .placement import earlier_homes
@@ -33,21 +34,33 @@
         return home
 
 
+@dataclass(frozen=True, slots=True)
+class EarlierHome:
+    """What the owners of a flow's earlier homes said.
+
+    ``open_on`` is the upstream where the flow is open; with None, every earlier home
+    has released it. ``certain`` is False if the zone of one could not be reached.
+    """
+
+    open_on: UpstreamId | None = None
+    certain: bool = True
+
+
 class FlowOpener:
     """Decides where a flow that its home's owner does not know is placed."""
 
     def __init__(
         self,
         environment: Environment,
-        membership: Membership,
         ownership: Ownership,
         source: ConfigSource,
+        homes: Homes,
         chooser: UpstreamChooser,
     ):
         self._environment = environment
-        self._membership = membership
         self._ownership = ownership
         self._source = source
+        self._homes = homes
         self._chooser = chooser
 
     def needs_peers(self, forward: Forward, service: Service) -> bool:
@@ -61,24 +74,30 @@
 
     async def find_open(
         self, forward: Forward, service: Service
-    ) -> UpstreamId | None | OutcomeUnknown:
-        """The upstream where an earlier home has the flow open, None if nowhere.
+    ) -> EarlierHome | OutcomeUnknown:
+        """Claim the flow at its earlier homes.
 
-        After None, every earlier home has released the flow. ``OutcomeUnknown`` says
-        that an earlier home did not answer although its zone can be reached.
+        ``OutcomeUnknown`` says that an earlier home did not answer although its zone
+        can be reached.
         """
+        certain = True
         for home in self._earlier_homes(forward, service):
-            open_on = await self._claim(forward, home)
-            if open_on is not None:
-                return open_on
-        return None
-
-    async def open_away(self, forward: Forward, upstream_id: UpstreamId) -> bool:
+            answer = await self._claim(forward, home)
+            if isinstance(answer, OutcomeUnknown):
+                return answer
+            if answer.open_on is not None:
+                return answer
+            certain = certain and answer.certain
+        return EarlierHome(certain=certain)
+
+    async def open_away(
+        self, forward: Forward, upstream_id: UpstreamId, certain: bool
+    ) -> bool:
         """Have the owner of another upstream open the flow."""
         owner = self._owner_of(upstream_id)
         if owner is None:
             return False
-        message = OpenFlow(forward.flow_key, upstream_id, forward.revision)
+        message = OpenFlow(forward.flow_key, upstream_id, forward.revision, certain)
         answer = await self._environment.peers.call(owner, message, CLAIM_TIMEOUT_S)
         return isinstance(answer, OpenAnswer) and answer.opened
 
@@ -92,17 +111,20 @@
 
     async def _claim(
         self, forward: Forward, home: UpstreamId
-    ) -> UpstreamId | None | OutcomeUnknown:
+    ) -> EarlierHome | OutcomeUnknown:
         revision = self._source.configuration.revision
         message = ClaimFlow(forward.flow_key, home, forward.upstream_id, revision)
         for _ in range(CLAIM_ATTEMPTS):
+            if not self._homes.is_reachable(home):
+                return EarlierHome(certain=False)
             owner = self._owner_of(home)
             if owner is not None:
                 answer = await self._environment.peers.call(
                     owner, message, CLAIM_TIMEOUT_S
                 )
                 if isinstance(answer, ClaimAnswer) and answer.owned:
-                    return UpstreamId(answer.open_on) if answer.open_on else None
+                    open_on = UpstreamId(answer.open_on) if answer.open_on else None
+                    return EarlierHome(open_on)
             await asyncio.sleep(CLAIM_RETRY_S)
         return OutcomeUnknown(Reason.CLAIM_UNANSWERED)
 
--- a/src/wisteriatiller/owner.py
+++ b/src/wisteriatiller/owner.py
@@ -6,6 +6,7 @@
 
 from . import coapcodec, proxyheader
 from .config import ConfigSource, Configuration, RequestMode, Service, Upstream
+from .duplicates import EXCHANGE_LIFETIME_S, FINAL_STATES, RequestKey
 from .environment import Environment
 from .exceptions import MessageError, check_invariant
 from .flowmessages import (
@@ -13,6 +14,7 @@
     PinFlow,
 )
 from .flows import FlowRecord, FlowState
+from .homes import Homes
 from .ids import Address, CallerId, FlowKey, HostId, Revision, ShardId, UpstreamId
 from .opening import FlowOpener
 from .outcomes import OutcomeUnknown, Reason, Refused
@@ -39,6 +41,7 @@
         ownership: Ownership,
         source: ConfigSource,
         shards: ShardTable,
+        homes: Homes,
         opener: FlowOpener,
         answer: AnswerCaller,
     ):
@@ -48,6 +51,7 @@
         self._ownership = ownership
         self._source = source
         self._shards = shards
+        self._homes = homes
         self._opener = opener
         self._answer = answer
         self._tasks: set[asyncio.Task] = set()
@@ -98,21 +102,61 @@
         service: Service,
         record: FlowRecord,
     ) -> None:
+        if record.state is FlowState.LOST:
+            self._use_lost(owned, forward, service, record)
+            return
         record.last_seen_s = self._now_s()
         if record.state is FlowState.ELSEWHERE:
-            self._relay(replace(forward, upstream_id=record.upstream_id))
-            return
-        if record.state is FlowState.LOST:
-            self._refuse(forward, Refused(Reason.FLOW_LOST))
+            if not (record.replaced and self._is_known_repeat(owned, forward)):
+                self._relay(replace(forward, upstream_id=record.upstream_id))
             return
-        if service.mode is RequestMode.OPAQUE or record.upstream_id != (
-            self._source.configuration.tables[service.service_id].home(
-                FlowKey(forward.flow_key)
-            )
-        ):
+        home = self._homes.home(service.service_id, FlowKey(forward.flow_key))
+        if service.mode is RequestMode.OPAQUE or record.upstream_id != home:
             self._pin(forward, record.upstream_id)
         self._serve(owned, forward, service, record)
 
+    def _use_lost(
+        self,
+        owned: OwnedShard,
+        forward: Forward,
+        service: Service,
+        record: FlowRecord,
+    ) -> None:
+        """Tell the caller that the flow is lost; place the flow anew after that."""
+        if service.mode is RequestMode.OPAQUE:
+            self._environment.metrics.count("owner.dropped_datagrams")
+            return
+        try:
+            head = coapcodec.read_head(forward.payload)
+        except MessageError:
+            self._environment.metrics.count("owner.bad_payloads")
+            return
+        if not head.is_request or self._is_known_repeat(owned, forward):
+            return
+        if record.told_lost:
+            self._place_lost(owned, forward, service)
+            return
+        record.told_lost = True
+        self._environment.metrics.count("flows.lost")
+        upstream = self._source.configuration.upstreams[record.upstream_id]
+        dispatcher = self._shards.dispatcher(owned, upstream)
+        outcome = Refused(Reason.FLOW_LOST)
+        dispatcher.refuse(FlowKey(forward.flow_key), head, outcome)
+
+    def _is_known_repeat(self, owned: OwnedShard, forward: Forward) -> bool:
+        """Whether this shard knows the request; a final answer is sent again."""
+        try:
+            head = coapcodec.read_head(forward.payload)
+        except MessageError:
+            return False
+        flow_key = FlowKey(forward.flow_key)
+        known = owned.duplicates.get(RequestKey(flow_key, head.message_id))
+        if not head.is_request or known is None:
+            return False
+        if known.state in FINAL_STATES:
+            self._answer(flow_key, known.answer)
+        return True
+
     def _serve(self, owned, forward, service, record: FlowRecord) -> None:
         upstream = self._source.configuration.upstreams[record.upstream_id]
         flow_key = FlowKey(forward.flow_key)
@@ -152,10 +196,10 @@
     ) -> None:
         flow_key = FlowKey(forward.flow_key)
         if forward.pinned:
-            self._put_open(owned, flow_key, upstream.upstream_id)
+            owned.flows.put(flow_key, self._record(owned, upstream.upstream_id))
             self._route(forward)
             return
-        home = self._source.configuration.tables[service.service_id].home(flow_key)
+        home = self._homes.reachable_home(service.service_id, flow_key)
         if home is None:
             self._refuse(forward, Refused(Reason.NO_UPSTREAM))
         elif home != upstream.upstream_id:
@@ -167,59 +211,88 @@
 
     def _open_at_home(self, owned, forward: Forward, service: Service) -> None:
         flow_key = FlowKey(forward.flow_key)
-        if not self._opener.needs_peers(forward, service):
+        if self._is_home(forward, service) and not self._opener.needs_peers(
+            forward, service
+        ):
             chosen = self._opener.choose(forward, service)
             if self._is_local(owned, chosen):
-                self._put_open(owned, flow_key, chosen)
+                owned.flows.put(flow_key, self._record(owned, chosen))
                 self._route(forward)
                 return
-        owned.opening[flow_key] = [forward]
-        self._spawn(self._open_with_peers(owned, forward, service))
+        self._open_later(owned, forward, self._decide(owned, forward, service))
 
-    async def _open_with_peers(self, owned, forward: Forward, service: Service) -> None:
+    def _place_lost(self, owned, forward: Forward, service: Service) -> None:
+        """Choose another upstream for a flow that was lost with its upstream."""
         flow_key = FlowKey(forward.flow_key)
-        outcome = await self._decide(owned, forward, service)
+        if flow_key in owned.opening:
+            owned.opening[flow_key].append(forward)
+            return
+        owned.flows.remove(flow_key)
+        self._open_later(owned, forward, self._choose_anew(owned, forward, service))
+
+    def _open_later(self, owned: OwnedShard, forward: Forward, decision) -> None:
+        owned.opening[FlowKey(forward.flow_key)] = [forward]
+        self._spawn(self._open_with_peers(owned, forward, decision))
+
+    async def _open_with_peers(self, owned, forward: Forward, decision) -> None:
+        flow_key = FlowKey(forward.flow_key)
+        outcome = await decision
         waiting = owned.opening.pop(flow_key)
         if isinstance(outcome, OutcomeUnknown):
             for item in waiting:
                 self._answer_unknown(item, outcome)
             return
         if owned.flows.get(flow_key) is None:
-            if self._is_local(owned, outcome):
-                self._put_open(owned, flow_key, outcome)
-            else:
-                self._put_elsewhere(owned, flow_key, outcome)
+            owned.flows.put(flow_key, outcome)
         for item in waiting:
             self._route(item)
 
     async def _decide(
         self, owned: OwnedShard, forward: Forward, service: Service
-    ) -> UpstreamId | OutcomeUnknown:
-        open_on = await self._opener.find_open(forward, service)
-        if open_on is not None:
-            return open_on
+    ) -> FlowRecord | OutcomeUnknown:
+        earlier = await self._opener.find_open(forward, service)
+        if isinstance(earlier, OutcomeUnknown):
+            return earlier
+        if earlier.open_on is not None:
+            return self._record(owned, earlier.open_on)
+        certain = earlier.certain and self._is_home(forward, service)
+        return await self._choose(owned, forward, service, certain)
+
+    async def _choose_anew(self, owned, forward: Forward, service: Service):
+        record = await self._choose(owned, forward, service, certain=True)
+        record.replaced = True
+        return record
+
+    async def _choose(
+        self, owned, forward: Forward, service: Service, certain: bool
+    ) -> FlowRecord:
         chosen = self._opener.choose(forward, service)
-        if self._is_local(owned, chosen):
-            return chosen
-        if await self._opener.open_away(forward, chosen):
-            return chosen
-        return UpstreamId(forward.upstream_id)
+        if not self._is_local(owned, chosen):
+            if await self._opener.open_away(forward, chosen, certain):
+                return self._record(owned, chosen)
+            chosen = UpstreamId(forward.upstream_id)
+        record = self._record(owned, chosen)
+        if not certain:
+            record.uncertain_until_s = self._now_s() + EXCHANGE_LIFETIME_S
+        return record
+
+    def _record(self, owned: OwnedShard, upstream_id: UpstreamId) -> FlowRecord:
+        """A record for a flow on an upstream of this or another shard."""
+        if self._is_local(owned, upstream_id):
+            return FlowRecord(
+                FlowState.OPEN, upstream_id, self._now_s(), owned.uncertain_until_s
+            )
+        return FlowRecord(FlowState.ELSEWHERE, upstream_id, self._now_s())
+
+    def _is_home(self, forward: Forward, service: Service) -> bool:
+        home = self._homes.home(service.service_id, FlowKey(forward.flow_key))
+        return home == forward.upstream_id
 
     def _is_local(self, owned: OwnedShard, upstream_id: UpstreamId) -> bool:
         configuration = self._source.configuration
         upstream = configuration.upstreams[upstream_id]
         return configuration.shard_of(upstream) == owned.shard
 
-    def _put_open(self, owned, flow_key: FlowKey, upstream_id: UpstreamId) -> None:
-        record = FlowRecord(
-            FlowState.OPEN, upstream_id, self._now_s(), owned.uncertain_until_s
-        )
-        owned.flows.put(flow_key, record)
-
-    def _put_elsewhere(self, owned, flow_key: FlowKey, upstream_id) -> None:
-        record = FlowRecord(FlowState.ELSEWHERE, upstream_id, self._now_s())
-        owned.flows.put(flow_key, record)
-
     # Datagrams of upstreams
 
     def receive_from_upstream(self, data: bytes, address: Address) -> None:
@@ -269,6 +342,9 @@
         self._route(forward)
 
     def _pass_to_owner(self, forward: Forward, shard: ShardId) -> None:
+        if not self._homes.is_reachable(UpstreamId(forward.upstream_id)):
+            self._give_up(forward, Reason.UPSTREAM_UNREACHABLE)
+            return
         owner = self._ownership.owner(shard)
         if owner is not None and owner != self._host_id and forward.hops < MAX_HOPS:
             self._environment.peers.send(owner, replace(forward, hops=forward.hops + 1))
--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -6,6 +6,8 @@
 from .config import ConfigSource
 from .environment import Environment
 from .flowservice import FlowService
+from .healing import ZoneHealing
+from .homes import Homes
 from .ids import Address, FlowKey, ShardId
 from .ingress import Ingress
 from .lease import ShardLeases
@@ -38,16 +40,21 @@
         self.shards = ShardTable(environment, source, leases, self._answer)
         self.upkeep = Upkeep(environment, source, self.ownership, self.shards)
         self.flow_service = FlowService(environment, source, self.shards)
-        opener = FlowOpener(environment, membership, self.ownership, source, chooser)
+        homes = Homes(source, membership)
+        self.healing = ZoneHealing(
+            environment, membership, self.ownership, source, homes, self.shards
+        )
+        opener = FlowOpener(environment, self.ownership, source, homes, chooser)
         self.owner = Owner(
             environment,
             self.ownership,
             source,
             self.shards,
+            homes,
             opener,
             self._answer,
         )
-        self.ingress = Ingress(environment, source, self.owner)
+        self.ingress = Ingress(environment, source, homes, self.owner)
         self._ports: list[DatagramPort] = []
         self._tasks: list[asyncio.Task] = []
         leases.on_acquired = self.lease_acquired
@@ -62,6 +69,7 @@
         self.ingress.upstream_port = self.shards.upstream_port
         self._run(self.upkeep.probe_upstreams(), "probe upstreams")
         self._run(self.upkeep.sweep(), "sweep")
+        self._run(self.healing.run(), "zone healing")
         self.ingress.fabric_port = await self._open(
             settings.fabric_listen, self.ingress.receive
         )
