--- a/src/wisteriatiller/configstore.py
+++ b/src/wisteriatiller/configstore.py
@@ -295,7 +295,7 @@
             self._tasks = None
 
     async def catch_up(
-        self, sender: HostId, revision: Revision, timeout_s: float
+        self, host_id: HostId, revision: Revision, timeout_s: float
     ) -> bool:
         """Pull from a peer that has ``revision``; whether this host has it then."""
         loop = asyncio.get_running_loop()
@@ -304,7 +304,7 @@
             rest_s = deadline_s - loop.time()
             if rest_s <= 0:
                 return False
-            await self._pull_from(sender, min(rest_s, PULL_TIMEOUT_S))
+            await self._pull_from(host_id, min(rest_s, PULL_TIMEOUT_S))
             if self._record.revision < revision:
                 await asyncio.sleep(min(PULL_RETRY_S, max(0.0, rest_s)))
         return True
