--- a/src/wisteriatiller/settings.py
+++ b/src/wisteriatiller/settings.py
@@ -1,12 +1,28 @@
 """Settings of one host, read from JSON with comments."""
 
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
-import json5
-
 from .exceptions import SettingsError
 from .ids import Address, HostId, ZoneId
+from .textcheck import (
+    Checker,
+    Field,
+    NotAllowed,
+    TextProblem,
+    TextProblems,
+    address,
+    identifier,
+    list_of,
+    listen_address,
+    number,
+    optional,
+    parse_text,
+)
+
+# Digests between hosts have 16 bytes; a shorter key would be the weaker part.
+MIN_PEER_KEY_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,30 +52,124 @@
     stop_timeout_s: float = 20.0
 
 
-def load_settings(path: Path) -> HostSettings:
-    """Read and check the settings file of a host."""
+def _store_url(value):
+    allowed = 'a URL with an IP number such as "http://10.0.0.5:8500"'
+    match = re.fullmatch(r"https?://([^/?#@]+)/?", value if type(value) is str else "")
+    if match is None:
+        raise NotAllowed(allowed)
     try:
-        raw = json5.loads(path.read_text("utf-8"))
-    except (OSError, ValueError) as error:
-        raise SettingsError([f"{path}: {error}"]) from error
-    return HostSettings(
-        host_id=HostId(raw["host_id"]),
-        zone=ZoneId(raw["zone"]),
-        fabric_listen=Address.parse(raw["fabric_listen"]),
-        upstream_listen=Address.parse(raw["upstream_listen"]),
-        peer_listen=Address.parse(raw["peer_listen"]),
-        admin_listen=Address.parse(raw["admin_listen"]),
-        fabric_return=tuple(map(Address.parse, raw["fabric_return"])),
-        seeds=tuple(
-            Seed(
-                HostId(seed["host_id"]),
-                ZoneId(seed["zone"]),
-                Address.parse(seed["address"]),
-            )
-            for seed in raw["seeds"]
+        address(match[1])
+    except NotAllowed:
+        raise NotAllowed(allowed) from None
+    return value
+
+
+def _peer_key(value):
+    allowed = f"hexadecimal digits for at least {MIN_PEER_KEY_BYTES} bytes"
+    try:
+        key = bytes.fromhex(value)
+    except (TypeError, ValueError):
+        raise NotAllowed(allowed) from None
+    if len(key) < MIN_PEER_KEY_BYTES:
+        raise NotAllowed(allowed)
+    return key
+
+
+_SETTINGS_FIELDS = {
+    "host_id": Field(identifier, required=True),
+    "zone": Field(identifier, required=True),
+    "fabric_listen": Field(listen_address, required=True),
+    "upstream_listen": Field(listen_address, required=True),
+    "peer_listen": Field(address, required=True),
+    "admin_listen": Field(listen_address, required=True),
+    "fabric_return": Field(
+        list_of(address, "a list of at least one IP number and port", least=1),
+        required=True,
+    ),
+    "seeds": Field(
+        list_of(lambda seed: seed, "a list of objects with host_id, zone and address"),
+        required=True,
+    ),
+    "store_urls": Field(
+        list_of(
+            _store_url,
+            'a list of at least one URL such as "http://10.0.0.5:8500"',
+            least=1,
+        ),
+        required=True,
+    ),
+    "peer_keys": Field(
+        list_of(
+            _peer_key,
+            "a list of at least one key of hexadecimal digits for at least "
+            f"{MIN_PEER_KEY_BYTES} bytes",
+            least=1,
         ),
-        store_urls=tuple(raw["store_urls"]),
-        peer_keys=tuple(bytes.fromhex(key) for key in raw["peer_keys"]),
-        statsd=Address.parse(raw["statsd"]) if raw.get("statsd") else None,
-        stop_timeout_s=raw.get("stop_timeout_s", 20.0),
+        required=True,
+        secret=True,
+    ),
+    "statsd": Field(optional(address)),
+    "stop_timeout_s": Field(number(0.1, 3600.0), default=20.0),
+}
+_SEED_FIELDS = {
+    "host_id": Field(identifier, required=True),
+    "zone": Field(identifier, required=True),
+    "address": Field(address, required=True),
+}
+
+
+def load_settings(path: Path) -> HostSettings:
+    """Read and check the settings file of a host.
+
+    ``SettingsError`` carries every problem of the file.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        found = error.strerror or str(error)
+        raise SettingsError(
+            [TextProblem(str(path), 1, "", found, "a readable file")]
+        ) from error
+    parsed = parse_text(data, path.name)
+    if isinstance(parsed, TextProblems):
+        raise SettingsError(parsed.problems)
+    checker = Checker(path.name, parsed)
+    values = checker.fields((), parsed.value, _SETTINGS_FIELDS)
+    raw = parsed.value if isinstance(parsed.value, dict) else {}
+    seeds = _seeds(checker, raw.get("seeds"))
+    _check_listen_addresses(checker, raw)
+    problems = checker.result()
+    if problems is not None:
+        raise SettingsError(problems.problems)
+    return HostSettings(**{**values, "seeds": seeds})
+
+
+def _seeds(checker: Checker, raw: object) -> tuple[Seed, ...]:
+    seeds = []
+    for index, item in enumerate(raw if isinstance(raw, list) else ()):
+        values = checker.fields(("seeds", index), item, _SEED_FIELDS)
+        if values is None:
+            continue
+        seed = Seed(**values)
+        for key in ("host_id", "address"):
+            if any(getattr(seed, key) == getattr(other, key) for other in seeds):
+                found = f"{getattr(seed, key)} a second time"
+                checker.problem(("seeds", index, key), found, "each seed once")
+        seeds.append(seed)
+    return tuple(seeds)
+
+
+def _check_listen_addresses(checker: Checker, raw: dict) -> None:
+    """Refuse a UDP or TCP port that two listeners would share."""
+    # Gossip and streams of peers share one address over UDP and TCP.
+    groups = (
+        ("fabric_listen", "upstream_listen", "peer_listen"),
+        ("peer_listen", "admin_listen"),
     )
+    for group in groups:
+        owners: dict[str, str] = {}
+        for key in group:
+            value = raw.get(key)
+            first = owners.setdefault(value, key) if isinstance(value, str) else key
+            if first != key:
+                checker.problem((key,), f"{value}, as in {first}", "a free address")
--- a/src/wisteriatiller/textcheck.py
+++ b/src/wisteriatiller/textcheck.py
@@ -29,6 +29,7 @@
 MAX_JSON5_BYTES = 200_000
 MAX_ID_LENGTH = 64
 MAX_FOUND_LENGTH = 60
+MAX_MESSAGE_LENGTH = 400
 
 KeyPath = tuple[str | int, ...]
 
@@ -61,7 +62,10 @@
         place = f"{self.file}:{self.line}"
         if self.key_path:
             place += f": {self.key_path}"
-        return f"{place}: found {self.found}; allowed: {self.allowed}"
+        found = self.found
+        if len(found) > MAX_MESSAGE_LENGTH:
+            found = found[:MAX_MESSAGE_LENGTH] + "..."
+        return one_line(f"{place}: found {found}; allowed: {self.allowed}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +92,13 @@
         return self.lines.get(path, 1)
 
 
+def one_line(text: str) -> str:
+    """Escape what could break a line or a terminal, such as control characters."""
+    return re.sub(
+        r"[^\x20-\x7e]", lambda match: match[0].encode("unicode_escape").decode(), text
+    )
+
+
 def show_path(path: KeyPath) -> str:
     """Write a key path as ``services.stock.depends_on[0]``."""
     text = ""
@@ -147,9 +158,7 @@
         match = re.match(r"<string>:(\d+) (.*)", str(error), re.DOTALL)
         line = int(match[1]) if match else 1
         detail = match[2] if match else str(error)
-        detail = detail.encode("ascii", "backslashreplace").decode()
-        allowed = "JSON with comments and trailing commas"
-        return fail(line, (), detail[:200], allowed)
+        return fail(line, (), detail, "JSON with comments and trailing commas")
     return ParsedText(value, scan.lines, scan.duplicates)
 
 
@@ -280,11 +289,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Field:
-    """How one key of an object is checked; ``required`` keys have no default."""
+    """How one key of an object is checked; ``required`` keys have no default.
+
+    The value of a ``secret`` key is never shown in a problem.
+    """
 
     check: FieldCheck
     required: bool = False
     default: object = None
+    secret: bool = False
 
 
 class Checker:
@@ -309,12 +322,15 @@
             return None
         return TextProblems(tuple(sorted(self.problems, key=lambda p: p.line)))
 
-    def value(self, path: KeyPath, value: object, check: FieldCheck) -> object:
+    def value(
+        self, path: KeyPath, value: object, check: FieldCheck, secret: bool = False
+    ) -> object:
         """Check one value; None stands for a problem that was noted."""
         try:
             return check(value)
         except NotAllowed as wrong:
-            self.problem(path, show_value(value), wrong.allowed)
+            found = "a secret that is not shown" if secret else show_value(value)
+            self.problem(path, found, wrong.allowed)
             return None
 
     def mapping(self, path: KeyPath, value: object, allowed: str) -> dict:
@@ -337,7 +353,9 @@
         checked = {}
         for key, item in fields.items():
             if key in value:
-                checked[key] = self.value((*path, key), value[key], item.check)
+                checked[key] = self.value(
+                    (*path, key), value[key], item.check, item.secret
+                )
             elif item.required:
                 self.problem(path, f"no key {key}", f"an object with the key {key}")
             else:
@@ -423,6 +441,13 @@
     return address(value, unspecified=True)
 
 
+def optional(check: FieldCheck) -> FieldCheck:
+    def check_or_none(value):
+        return None if value is None else check(value)
+
+    return check_or_none
+
+
 def list_of(check: FieldCheck, allowed: str, least: int = 0) -> FieldCheck:
     def check_all(value):
         if not isinstance(value, list) or len(value) < least:
