--- a/testbed/upstream.py
+++ b/testbed/upstream.py
@@ -120,6 +120,8 @@
     foreign_packets: list = field(default_factory=list)
     # flow, step
     broken_flows: list = field(default_factory=list)
+    # flow, time of its first start on the machine's monotonic clock
+    new_flows: list = field(default_factory=list)
     repeats: int = 0
     undecodable: int = 0
     # Requests that arrived while every slot was busy.
@@ -179,6 +181,10 @@
         )
         return result
 
+    def busy_s(self) -> float:
+        self._count_busy()
+        return self.record.busy_s
+
     def close(self) -> None:
         self._socket.close()
 
@@ -362,6 +368,8 @@
         sessions = self.record.sessions
         if step > 0 and request.flow not in sessions:
             self.record.broken_flows.append([request.flow, step])
+        if request.flow not in sessions:
+            self.record.new_flows.append([request.flow, self._loop.time()])
         sessions[request.flow] = step
 
     def _service_time_s(self) -> float:
@@ -492,6 +500,9 @@
     def records(self) -> dict:
         return {uid: upstream.record_json() for uid, upstream in self.upstreams.items()}
 
+    def busy_s(self) -> dict:
+        return {uid: upstream.busy_s() for uid, upstream in self.upstreams.items()}
+
     def reset(self, _body=None) -> dict:
         for upstream in self.upstreams.values():
             upstream.reset()
@@ -500,6 +511,7 @@
     def routes(self) -> list:
         return [
             route("/record", self.records),
+            route("/busy", self.busy_s),
             route("/reset", write=self.reset),
             route("/faults", self.read_faults, self.set_faults),
         ]
