--- a/testbed/store.py
+++ b/testbed/store.py
@@ -106,9 +106,10 @@
         """Return when the key changes past ``index`` or the wait is over."""
         deadline = asyncio.get_running_loop().time() + wait_s
         seen = self.entries.get(key)
-        while self.key_index(key) == index or (
+        while not self.faults.away and (
+            self.key_index(key) == index
             # A missing key has no index of its own: only its creation counts.
-            seen is None and key not in self.entries and self.index >= index
+            or (seen is None and key not in self.entries and self.index >= index)
         ):
             rest_s = deadline - asyncio.get_running_loop().time()
             if rest_s <= 0:
