--- /dev/null
+++ b/src/wisteriatiller/gossip.py
@@ -0,0 +1,177 @@
+"""Versioned values that all hosts converge on, and how two hosts compare them.
+
+For each key the highest version wins; between equal versions, the greater encoded
+value. Two hosts compare a 64-bit sum over everything first, then a sum for each of
+``BUCKET_COUNT`` buckets of keys, then the versions in the buckets that differ, so
+the cost follows from what differs and not from what is known.
+"""
+
+import math
+import struct
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgpack
+from xxhash import xxh3_64_intdigest
+
+BUCKET_COUNT = 128
+MAX_KEY_BYTES = 200
+MAX_VALUE_BYTES = 64 * 1024
+MAX_VERSION = (1 << 63) - 1
+# Each update is sent this many times log2(n + 1), the factor with which SWIM misses
+# a host with a probability that falls with the square of the group size.
+RETRANSMIT_FACTOR = 3
+# The msgpack headers of one update.
+UPDATE_OVERHEAD_BYTES = 24
+
+_BUCKETS = struct.Struct(f"!{BUCKET_COUNT}I")
+
+
+@dataclass(slots=True)
+class Entry:
+    """A key with its version and value."""
+
+    key: str
+    version: int
+    packed: bytes
+    value: object
+    bucket: int
+    check: int
+    # An old entry that is kept, but no longer compared with other hosts.
+    hidden: bool = False
+
+    @property
+    def size_bytes(self) -> int:
+        return len(self.key) + len(self.packed) + UPDATE_OVERHEAD_BYTES
+
+    def rank(self) -> tuple[int, bytes]:
+        return self.version, self.packed
+
+
+def make_entry(key: str, version: int, packed: bytes) -> Entry:
+    """Build an entry; raises ``ValueError`` for bytes that are no value."""
+    try:
+        value = msgpack.unpackb(packed, use_list=False)
+    except (TypeError, msgpack.UnpackException) as error:
+        raise ValueError(f"undecodable value of {key!r}") from error
+    encoded_key = key.encode()
+    check = xxh3_64_intdigest(b"%s %d %s" % (encoded_key, version, packed))
+    bucket = xxh3_64_intdigest(encoded_key) % BUCKET_COUNT
+    return Entry(key, version, packed, value, bucket, check)
+
+
+class GossipState:
+    """All entries of one host, with the sums that compare them."""
+
+    def __init__(self):
+        self.entries: dict[str, Entry] = {}
+        self.root = 0
+        self._sums = [0] * BUCKET_COUNT
+        self._keys: list[dict[str, None]] = [{} for _ in range(BUCKET_COUNT)]
+
+    def is_newer(self, key: str, version: int, packed: bytes) -> bool:
+        known = self.entries.get(key)
+        return known is None or (version, packed) > known.rank()
+
+    def put(self, entry: Entry) -> None:
+        """Take an entry in place of the present one."""
+        self.forget(entry.key)
+        self.entries[entry.key] = entry
+        self._keys[entry.bucket][entry.key] = None
+        if not entry.hidden:
+            self._toggle(entry)
+
+    def hide(self, key: str) -> None:
+        """Leave an entry out of comparisons from now on."""
+        entry = self.entries[key]
+        if not entry.hidden:
+            self._toggle(entry)
+            entry.hidden = True
+
+    def forget(self, key: str) -> None:
+        entry = self.entries.pop(key, None)
+        if entry is not None:
+            del self._keys[entry.bucket][key]
+            if not entry.hidden:
+                self._toggle(entry)
+
+    def bucket_sums(self) -> bytes:
+        return _BUCKETS.pack(*self._sums)
+
+    def differing_buckets(self, sums: bytes) -> list[int]:
+        """The buckets whose sums differ from those of another host."""
+        if len(sums) != _BUCKETS.size:
+            raise ValueError("wrong number of bucket sums")
+        theirs = _BUCKETS.unpack(sums)
+        return [i for i in range(BUCKET_COUNT) if theirs[i] != self._sums[i]]
+
+    def versions(self, bucket: int) -> list[tuple[str, int, int]]:
+        """Key, version and short check of each compared entry of a bucket."""
+        return [
+            (entry.key, entry.version, entry.check & 0xFFFFFFFF)
+            for entry in self._visible(bucket)
+        ]
+
+    def compare(
+        self, buckets: Iterable[int], versions: Iterable[tuple[str, int, int]]
+    ) -> tuple[list[Entry], list[str]]:
+        """What another host lacks and what it has newer, in the given buckets."""
+        theirs = {key: (version, check) for key, version, check in versions}
+        newer = []
+        wanted = []
+        for bucket in buckets:
+            for entry in self._visible(bucket):
+                version, check = theirs.get(entry.key, (-1, 0))
+                if entry.version > version:
+                    newer.append(entry)
+                elif entry.version == version and entry.check & 0xFFFFFFFF != check:
+                    newer.append(entry)
+                    wanted.append(entry.key)
+        for key, (version, _) in theirs.items():
+            known = self.entries.get(key)
+            if known is None or known.version < version:
+                wanted.append(key)
+        return newer, wanted
+
+    def _visible(self, bucket: int) -> list[Entry]:
+        entries = [self.entries[key] for key in self._keys[bucket]]
+        return [entry for entry in entries if not entry.hidden]
+
+    def _toggle(self, entry: Entry) -> None:
+        # Exclusive or both adds and removes an entry.
+        self.root ^= entry.check
+        self._sums[entry.bucket] ^= entry.check & 0xFFFFFFFF
+
+
+class UpdateQueue:
+    """Recent updates that ride on datagrams, each a limited number of times."""
+
+    def __init__(self):
+        self._sends_left: OrderedDict[str, int] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._sends_left)
+
+    def add(self, key: str, group_size: int) -> None:
+        sends = RETRANSMIT_FACTOR * math.ceil(math.log2(max(group_size, 1) + 1))
+        self._sends_left[key] = sends
+        self._sends_left.move_to_end(key)
+
+    def take(self, state: GossipState, budget_bytes: int) -> list[Entry]:
+        """The next entries that fit; they go to the end of the queue."""
+        taken = []
+        for _ in range(len(self._sends_left)):
+            key, left = self._sends_left.popitem(last=False)
+            entry = state.entries.get(key)
+            if entry is None:
+                continue
+            if entry.size_bytes > budget_bytes:
+                self._sends_left[key] = left
+                self._sends_left.move_to_end(key, last=False)
+                break
+            budget_bytes -= entry.size_bytes
+            taken.append(entry)
+            if left > 1:
+                self._sends_left[key] = left - 1
+        return taken
--- a/src/wisteriatiller/membership.py
+++ b/src/wisteriatiller/membership.py
@@ -2,6 +2,8 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
 
 from .ids import Address, HostId, ZoneId
 from .settings import HostSettings
@@ -9,6 +11,26 @@
 GossipListener = Callable[[str, int, object], None]
 
 
+class HostState(Enum):
+    """What is known about a host. Only a DEAD host does not count as live."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A host as this host sees it."""
+
+    host_id: HostId
+    zone: ZoneId
+    state: HostState
+    address: Address
+    incarnation: int
+
+
 class Membership(ABC):
     """The hosts of the system as this host sees them."""
 
@@ -23,6 +45,14 @@
     @abstractmethod
     def address_of(self, host_id: HostId) -> Address | None: ...
 
+    def members(self) -> tuple[Member, ...]:
+        """Every known host, also leaving and dead ones, this one included."""
+        return ()
+
+    def zone_reachable(self, zone: ZoneId) -> bool:
+        """Whether any host of the zone answered this host lately."""
+        return True
+
     @abstractmethod
     def publish(self, key: str, version: int, value: object) -> None:
         """Gossip a value; a higher version replaces a lower one on every host."""
@@ -54,6 +84,12 @@
         seed = self._hosts.get(host_id)
         return seed.address if seed else None
 
+    def members(self):
+        return tuple(
+            Member(seed.host_id, seed.zone, HostState.ALIVE, seed.address, 1)
+            for seed in self._hosts.values()
+        )
+
     def publish(self, key, version, value):
         if key in self._values and self._values[key][0] >= version:
             return
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -47,19 +47,30 @@
 def run_virtual(coroutine: Coroutine, seed: int = 0, end_s: float | None = None):
     """Run ``coroutine`` on virtual time and return its result.
 
-    A broken invariant is raised here, also if it was met in a background task. Other
-    tasks that still run are cancelled at the end.
+    A broken invariant is raised here, also if it was met in a background task, and so
+    is the first error of a callback. Tasks that still run are cancelled at the end.
     """
     random.seed(seed)
+    errors = []
+
+    async def run():
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: errors.append(context)
+        )
+        return await coroutine
+
     # Waits in no operation cycles only help code that busy-waits on real input.
     factory = lambda: _virtual_loop(start=1000.0, end=end_s, noop_cycles=0)  # noqa: E731
     try:
         with asyncio.Runner(loop_factory=factory) as runner:
-            return runner.run(coroutine)
+            result = runner.run(run())
     except SystemExit as stop:
         if isinstance(stop.__cause__, InvariantBroken):
             raise stop.__cause__ from None
         raise
+    if errors:
+        raise errors[0].get("exception") or AssertionError(errors[0]["message"])
+    return result
 
 
 class FakeClock(Clock):
