Add failure detection, slow start and report checks to upstream health

Three failures or three seconds without a probe answer take an upstream out; five probe answers over the hold-down time bring it back with a slow start. A report that contradicts the owner's own counts by more than two is ignored.

--- a/src/wisteriatiller/health.py
+++ b/src/wisteriatiller/health.py
@@ -1,6 +1,8 @@
-"""Health and clock of one upstream, from probes and answers."""
+"""Health, speed and clock of one upstream, from probes and answers."""
 
 import json
+from collections.abc import Callable
+from enum import Enum
 
 from . import proxyheader
 from .environment import Environment
@@ -11,22 +13,93 @@
 PROBE_LIFETIME_S = 5.0
 # The clock offset is refreshed often enough for drift to stay below a millisecond.
 OFFSET_LIFETIME_S = 30.0
+MAX_FAILURES = 3
+MAX_PROBE_SILENCE_S = 3.0
+MIN_FAILURE_SERVICE_TIMES = 2.0
+SUCCESSES_TO_RETURN = 5
+MIN_HOLD_DOWN_S = 10.0
+MAX_HOLD_DOWN_S = 60.0
+# An upstream that stayed up for this long is not flapping.
+STABLE_S = 120.0
+REPORT_LIFETIME_S = 5.0
+MAX_REPORT_CONTRADICTION = 2.0
+# A clock that went back by less may be a correction of the upstream's clock.
+RESTART_CLOCK_STEP_MS = 100.0
+DEFAULT_SLOW_START_S = 10.0
+# The mean of answer times follows a change within some tens of answers.
+SERVICE_TIME_GAIN = 0.1
+
+
+class HealthEvent(Enum):
+    """A change of an upstream's condition."""
+
+    DOWN = "down"
+    UP = "up"
+    RESTARTED = "restarted"
+
+
+class UpstreamState(Enum):
+    """The state that an upstream reports."""
+
+    READY = "ready"
+    COLD = "cold"
+    DRAINING = "draining"
+    SHEDDING = "shedding"
+
+
+HealthListener = Callable[[UpstreamId, HealthEvent], None]
 
 
 class UpstreamHealth:
-    """What an owner knows of an upstream's condition."""
+    """What an owner knows of an upstream's condition.
+
+    ``listener`` is called with each ``HealthEvent``. ``in_flight`` returns the
+    owner's own count of requests in flight; it is None where the owner does not see
+    the requests, as for opaque services.
+    """
 
-    def __init__(self, environment: Environment, upstream_id: UpstreamId):
+    def __init__(
+        self,
+        environment: Environment,
+        upstream_id: UpstreamId,
+        slow_start_s: float = DEFAULT_SLOW_START_S,
+        in_flight: Callable[[], int] | None = None,
+    ):
         self.upstream_id = upstream_id
         self.report: dict = {}
+        self.service_time_s: float | None = None
+        self.is_down = False
+        self.in_flight = in_flight
+        self._listeners: list[HealthListener] = []
         self._environment = environment
+        self.slow_start_s = slow_start_s
         self._sent_s: dict[bytes, float] = {}
+        self._unanswered_since_s: float | None = None
         self._offset_ms: float | None = None
         self._offset_at_s = 0.0
+        self._report_at_s = 0.0
+        self._reported_cold = False
+        self._ramp_start_s: float | None = None
+        self._failures = 0
+        self._successes = 0
+        self._success_since_s = 0.0
+        self._hold_down_s = MIN_HOLD_DOWN_S
+        self._up_since_s = environment.clock.now_s()
+        self._answers_since_report = 0
+        self._refusals_since_report = 0
+
+    def subscribe(self, listener: HealthListener) -> None:
+        self._listeners.append(listener)
+
+    # Probes
 
     def probe(self) -> bytes:
-        """A health probe to send now."""
+        """A health probe to send now; notices that earlier ones were not answered."""
         now_s = self._environment.clock.now_s()
+        if not self.answers_probes:
+            self._go_down()
+        if self._unanswered_since_s is None:
+            self._unanswered_since_s = now_s
         nonce = self._environment.random.randbytes(8)
         self._sent_s = {
             key: sent_s
@@ -36,22 +109,42 @@
         self._sent_s[nonce] = now_s
         return proxyheader.pack_local({proxyheader.TLV_NONCE: nonce})
 
+    @property
+    def answers_probes(self) -> bool:
+        """Whether the upstream process answers; False for ``MAX_PROBE_SILENCE_S``.
+
+        An upstream can be down for its failed requests and still answer probes: it
+        is then overloaded or stuck, and its flows may go on later.
+        """
+        if self._unanswered_since_s is None:
+            return True
+        silence_s = self._environment.clock.now_s() - self._unanswered_since_s
+        return silence_s < MAX_PROBE_SILENCE_S
+
     def handle_probe_answer(self, header: proxyheader.LocalHeader) -> None:
         """Take an answer; raise ``MessageError`` if it answers no probe of ours."""
         sent_s = self._sent_s.pop(header.tlv.get(proxyheader.TLV_NONCE, b""), None)
         clock = header.tlv.get(proxyheader.TLV_CLOCK, b"")
         if sent_s is None or len(clock) != 8:
             raise MessageError("unexpected probe answer")
+        self._unanswered_since_s = None
+        self._take_clock(int.from_bytes(clock, "big"), sent_s)
+        self._take_report(header.tlv.get(proxyheader.TLV_REPORT, b"{}"))
+        self._note_probe_success()
+
+    def _take_clock(self, clock_ms: int, sent_s: float) -> None:
         # The upstream read its clock before we received the answer, so the offset
         # from the receive time is a lower bound and a deadline is never too late.
         now_s = self._environment.clock.now_s()
-        self._offset_ms = int.from_bytes(clock, "big") - now_s * 1000
+        highest_offset_ms = clock_ms - sent_s * 1000
+        if (
+            self._offset_ms is not None
+            and highest_offset_ms < self._offset_ms - RESTART_CLOCK_STEP_MS
+        ):
+            self._start_ramp()
+            self._notify(HealthEvent.RESTARTED)
+        self._offset_ms = clock_ms - now_s * 1000
         self._offset_at_s = now_s
-        try:
-            report = json.loads(header.tlv.get(proxyheader.TLV_REPORT, b"{}"))
-        except ValueError as error:
-            raise MessageError("undecodable load report") from error
-        self.report = report if isinstance(report, dict) else {}
 
     def upstream_clock_ms(self, at_s: float) -> int | None:
         """A time of our clock on the upstream's clock, never later than the truth."""
@@ -60,11 +153,165 @@
             return None
         return max(0, int(at_s * 1000 + self._offset_ms))
 
+    # Load reports
+
+    def _take_report(self, text: bytes) -> None:
+        try:
+            report = json.loads(text)
+        except ValueError as error:
+            raise MessageError("undecodable load report") from error
+        report = report if isinstance(report, dict) else {}
+        contradicted = self._contradicts(report)
+        self._answers_since_report = 0
+        self._refusals_since_report = 0
+        if contradicted:
+            self._environment.metrics.count("health.contradicted_reports")
+            return
+        self.report = report
+        self._report_at_s = self._environment.clock.now_s()
+        cold = report.get("state") == UpstreamState.COLD.value
+        if cold and not self._reported_cold:
+            self._start_ramp()
+        self._reported_cold = cold
+
+    def _contradicts(self, report: dict) -> bool:
+        """Whether a report differs from what the owner itself sees."""
+        if self.in_flight is None:
+            return False
+        if (
+            report.get("state") == UpstreamState.SHEDDING.value
+            and self._answers_since_report > 0
+            and self._refusals_since_report == 0
+        ):
+            return True
+        reported = _number(report.get("busy_slots")) + _number(report.get("queued"))
+        own = self.in_flight()
+        # One request more or less is no contradiction: it may be on the network.
+        lower, higher = sorted((max(1.0, reported), max(1.0, own)))
+        return higher > MAX_REPORT_CONTRADICTION * lower
+
+    def reported_state(self) -> UpstreamState | None:
+        """The state of the last report, None if there is no credible, fresh one."""
+        age_s = self._environment.clock.now_s() - self._report_at_s
+        if not self.report or age_s > REPORT_LIFETIME_S:
+            return None
+        try:
+            return UpstreamState(self.report.get("state"))
+        except ValueError:
+            return None
+
+    # Availability
+
+    @property
+    def is_shedding(self) -> bool:
+        return self.reported_state() is UpstreamState.SHEDDING
+
+    @property
+    def is_available_for_new_flows(self) -> bool:
+        return not self.is_down and self.reported_state() not in (
+            UpstreamState.SHEDDING,
+            UpstreamState.DRAINING,
+        )
+
+    def ramp(self) -> float:
+        """Share of the full load that a cold upstream may get, 1 when it is warm."""
+        if self._ramp_start_s is None:
+            return 1.0
+        elapsed_s = self._environment.clock.now_s() - self._ramp_start_s
+        if elapsed_s >= self.slow_start_s:
+            self._ramp_start_s = None
+            return 1.0
+        return elapsed_s / self.slow_start_s
+
     def allowed_in_flight(self, slots: int) -> int:
-        return slots
+        """Requests that may be in flight, from 1 to ``slots`` during slow start."""
+        return min(slots, 1 + int(self.ramp() * (slots - 1)))
+
+    def back_in_s(self) -> float:
+        """The earliest time until an upstream that is down may be used again."""
+        if not self.is_down:
+            return 0.0
+        if self._successes == 0:
+            return self._hold_down_s
+        now_s = self._environment.clock.now_s()
+        return max(0.0, self._success_since_s + self._hold_down_s - now_s)
+
+    # Requests
 
     def succeeded(self, latency_s: float) -> None:
         """Note an answer."""
+        self._failures = 0
+        self._answers_since_report += 1
+        self._measure(latency_s)
+
+    def refused(self) -> None:
+        """Note a refusal by the upstream, which is alive but gives no answer time."""
+        self._failures = 0
+        self._refusals_since_report += 1
+
+    def failed(self, waited_s: float | None = None) -> None:
+        """Note a request without an answer for ``waited_s``.
+
+        A request that was dispatched shortly before its deadline, or before the end
+        of the lease, may time out on a healthy upstream and counts as no failure.
+        """
+        if waited_s is not None:
+            expected_s = self.service_time_s or 0.0
+            self._measure(max(waited_s, expected_s))
+            if waited_s < MIN_FAILURE_SERVICE_TIMES * expected_s:
+                return
+        self._failures += 1
+        self._successes = 0
+        if self._failures >= MAX_FAILURES:
+            self._go_down()
+
+    def _measure(self, latency_s: float) -> None:
+        if self.service_time_s is None:
+            self.service_time_s = latency_s
+        else:
+            change_s = latency_s - self.service_time_s
+            self.service_time_s += SERVICE_TIME_GAIN * change_s
+
+    # Down and up
+
+    def _go_down(self) -> None:
+        self._successes = 0
+        if self.is_down:
+            return
+        now_s = self._environment.clock.now_s()
+        if now_s - self._up_since_s >= STABLE_S:
+            self._hold_down_s = MIN_HOLD_DOWN_S
+        self.is_down = True
+        self._notify(HealthEvent.DOWN)
+
+    def _note_probe_success(self) -> None:
+        if not self.is_down:
+            return
+        now_s = self._environment.clock.now_s()
+        if self._successes == 0:
+            self._success_since_s = now_s
+        self._successes += 1
+        steady_s = now_s - self._success_since_s
+        if self._successes >= SUCCESSES_TO_RETURN and steady_s >= self._hold_down_s:
+            self.is_down = False
+            self._failures = 0
+            self._up_since_s = now_s
+            # Doubled for the next time, unless the upstream stays up for STABLE_S.
+            self._hold_down_s = min(MAX_HOLD_DOWN_S, 2 * self._hold_down_s)
+            self._start_ramp()
+            self._notify(HealthEvent.UP)
+
+    def _start_ramp(self) -> None:
+        self._ramp_start_s = self._environment.clock.now_s()
+
+    def _notify(self, event: HealthEvent) -> None:
+        self._environment.metrics.count(f"health.{event.value}")
+        for listener in self._listeners:
+            listener(self.upstream_id, event)
+
 
-    def failed(self) -> None:
-        """Note a request without an answer."""
+def _number(value) -> float:
+    """A number from a report, 0 for anything else."""
+    if isinstance(value, (int, float)) and not isinstance(value, bool):
+        return max(0.0, float(value))
+    return 0.0
