Refuse at admission what cannot meet its deadline; bound retries

Admission predicts the wait from the round robin position, the mean answer time, the free slots and the requests in flight. Idempotent requests are repeated once under a budget of a tenth of the answers; a retry of a refused request gets a new message id, since the upstream repeats its former answer to the old one. A host without the lease no longer says 'not run'.

--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from . import coapcodec, proxyheader
+from .admission import Admission
 from .coapcodec import CoapHead, MessageType
 from .config import Service, Upstream
 from .duplicates import (
@@ -16,16 +17,25 @@
 )
 from .environment import Environment
 from .exceptions import check_invariant
-from .health import UpstreamHealth
-from .ids import CallerId, FlowKey
+from .health import HealthEvent, UpstreamHealth
+from .ids import CallerId, FlowKey, ServiceId, UpstreamId
 from .outcomes import OutcomeUnknown, Reason, Refused
 from .queueing import FairQueue, Request
+from .retries import (
+    MAX_DISPATCHES,
+    RetryBudget,
+    UpstreamMessageIds,
+    retry_delay_s,
+    with_message_id,
+)
 
 # A non-idempotent request is not sent with less lease left than this, since the
 # upstream would refuse most of them for their short deadline.
 MIN_LEASE_S = 0.05
 # Time an answer may take on the network beyond the deadline given to the upstream.
 ANSWER_GRACE_S = 0.1
+# The shortest wait between two looks at the oldest queued request.
+MIN_EXPIRY_WAIT_S = 0.001
 
 
 class DispatchGate(ABC):
@@ -44,6 +54,25 @@
         """Note a final state, so that the backup learns of it."""
 
 
+class DispatchPolicy:
+    """What the surroundings of a dispatcher add to its decisions.
+
+    The default neither refuses for dependencies nor limits who may be retried.
+    """
+
+    def refuse_early(self, service_id: ServiceId) -> Reason | None:
+        """Why requests of the service are refused before queueing, if they are."""
+        return None
+
+    def may_retry(self, service_id: ServiceId, caller_id: CallerId) -> bool:
+        """Whether the caller's requests may be repeated here.
+
+        It is False for requests that another service makes while it serves its own
+        callers: those are repeated at the front only.
+        """
+        return True
+
+
 class UpstreamDispatcher:
     """Queue, slots and duplicates of one upstream.
 
@@ -61,6 +90,7 @@
         health: UpstreamHealth,
         send: Callable[[bytes], None],
         answer: Callable[[FlowKey, bytes], None],
+        policy: DispatchPolicy | None = None,
     ):
         check_invariant(
             upstream.service_id == service.service_id,
@@ -76,10 +106,28 @@
         self._gate = gate
         self._send = send
         self._answer = answer
+        self._policy = policy or DispatchPolicy()
         self._queue = FairQueue()
+        # Requests without a final answer; those in flight also by the message id
+        # under which the upstream knows them.
+        self._open: dict[RequestKey, Request] = {}
         self._in_flight: dict[RequestKey, Request] = {}
-        self._timers: dict[RequestKey, asyncio.TimerHandle] = {}
+        self._timers: dict[RequestKey, list[asyncio.TimerHandle]] = {}
+        self._expiry_timer: asyncio.TimerHandle | None = None
         self._paused = False
+        self._retrying: set[Request] = set()
+        self.retry_budget = RetryBudget()
+        self._message_ids = UpstreamMessageIds(environment)
+        self.admission = Admission(
+            environment,
+            service,
+            upstream,
+            health,
+            self._queue,
+            self._in_flight.values(),
+        )
+        health.in_flight = lambda: len(self._in_flight)
+        health.subscribe(self._health_changed)
 
     @property
     def in_flight(self) -> int:
@@ -92,6 +140,8 @@
     def handle(self, flow_key: FlowKey, caller_id: CallerId, payload: bytes) -> None:
         """Take a datagram of a caller whose flow is open on this upstream."""
         head = coapcodec.read_head(payload)
+        if head.message_type is MessageType.RST and self._cancel(flow_key, head):
+            return
         if not head.is_request:
             self._send(proxyheader.make_header(flow_key) + payload)
             return
@@ -122,36 +172,62 @@
         if request is None:
             self._environment.metrics.count("dispatch.late_answers")
             return
-        self._release(request)
         if head.is_refusal:
-            self._finish(request, RequestState.REFUSED, payload)
+            self._upstream_refused(request, head, payload)
         else:
+            self._release(request)
             self.health.succeeded(self._now_s() - request.dispatched_s)
-            self._finish(request, RequestState.ANSWERED, payload)
+            self.retry_budget.succeeded()
+            self._finish(
+                request, RequestState.ANSWERED, self._for_caller(request, head, payload)
+            )
         self.pump()
 
     def pump(self) -> None:
         """Dispatch queued requests while slots are free."""
         while self._queue and not self._paused and self._has_free_slot():
             request = self._queue.pop()
-            if self._now_s() >= request.deadline_s:
-                self._finish_refused(request, Refused(Reason.DEADLINE))
+            if self._now_s() > self.admission.latest_dispatch_s(request):
+                self._refuse(request, Reason.DEADLINE)
             else:
                 self._dispatch(request)
+        self._arm_expiry()
+
+    def close(self) -> None:
+        """End all timers; nothing is answered or dispatched any more."""
+        self._paused = True
+        self._retrying.clear()
+        for request in list(self._in_flight.values()):
+            self._release(request)
+        if self._expiry_timer is not None:
+            self._expiry_timer.cancel()
 
     def reconfigure(self, service: Service, upstream: Upstream) -> None:
         """Take the service and upstream of a newer configuration."""
         self.service = service
         self.upstream = upstream
+        self.health.slow_start_s = service.slow_start_s
+        self.admission.reconfigure(service, upstream)
         self.pump()
 
     def pause(self) -> None:
-        """Stop dispatching; requests in flight go on."""
+        """Stop dispatching; requests in flight go on.
+
+        Requests that wait for a retry join the queue at once, so that a hand-over
+        finds every request either in the queue or in flight.
+        """
         self._paused = True
+        for request in list(self._retrying):
+            self._retry(request)
 
     def _admit(self, flow_key, caller_id, head, payload) -> None:
         request = self._new_request(flow_key, caller_id, head, payload)
         self._duplicates.put(request.key, request.record)
+        refused = self._refusal(caller_id)
+        if refused is not None:
+            self._finish_refused(request, refused)
+            return
+        self._open[request.key] = request
         if head.is_idempotent:
             self._enqueue(request)
         else:
@@ -159,7 +235,16 @@
                 request, lambda recorded: self._recorded(request, recorded)
             )
 
+    def _refusal(self, caller_id: CallerId) -> Refused | None:
+        reason = self._policy.refuse_early(self.service.service_id)
+        if reason is not None:
+            return self.admission.refuse(reason)
+        return self.admission.decide(caller_id)
+
     def _recorded(self, request: Request, recorded: bool) -> None:
+        if request.record.state is not RequestState.QUEUED:
+            # The caller cancelled it meanwhile.
+            return
         if recorded:
             request.record.state = RequestState.RECORDED
             self._enqueue(request)
@@ -167,8 +252,60 @@
             self._finish_refused(request, Refused(Reason.NO_BACKUP))
 
     def _enqueue(self, request: Request) -> None:
+        if self.health.is_down:
+            self._refuse(request, Reason.UPSTREAM_DOWN)
+            return
         self._queue.push(request)
         self.pump()
+        overflow = self.admission.overflow()
+        if overflow is not None:
+            self._queue.remove(overflow)
+            self._refuse(overflow, Reason.QUEUE_FULL)
+
+    def _arm_expiry(self) -> None:
+        """Wake up when the oldest queued request can no longer be answered in time."""
+        oldest = self._queue.oldest()
+        if oldest is None or self._paused or self._expiry_timer is not None:
+            return
+        wait_s = self.admission.latest_dispatch_s(oldest) - self._now_s()
+        self._expiry_timer = asyncio.get_running_loop().call_later(
+            max(MIN_EXPIRY_WAIT_S, wait_s), self._expire
+        )
+
+    def _expire(self) -> None:
+        self._expiry_timer = None
+        while not self._paused:
+            oldest = self._queue.oldest()
+            if oldest is None or self._now_s() < self.admission.latest_dispatch_s(
+                oldest
+            ):
+                break
+            self._queue.remove(oldest)
+            self._refuse(oldest, Reason.DEADLINE)
+        self._arm_expiry()
+
+    def _health_changed(self, upstream_id: UpstreamId, event: HealthEvent) -> None:
+        if event is HealthEvent.DOWN:
+            while self._queue:
+                self._refuse(self._queue.pop(), Reason.UPSTREAM_DOWN)
+        elif event is HealthEvent.UP:
+            self.pump()
+
+    def _cancel(self, flow_key: FlowKey, head: CoapHead) -> bool:
+        """End a request that its caller gave up; False if it is not open here."""
+        request = self._open.get(RequestKey(flow_key, head.message_id))
+        if request is None:
+            return False
+        if self._is_in_flight(request):
+            self._release(request)
+            self._send_cancel(request)
+            self._finish_unknown(request, Reason.CANCELLED)
+            self.pump()
+        else:
+            self._queue.remove(request)
+            self._retrying.discard(request)
+            self._refuse(request, Reason.CANCELLED)
+        return True
 
     def _new_request(self, flow_key, caller_id, head, payload) -> Request:
         now_s = self._now_s()
@@ -196,26 +333,73 @@
                 self._finish_refused(request, Refused(Reason.NO_LEASE))
                 return
             deadline_s = min(deadline_s, now_s + lease_s)
-        header = proxyheader.make_header(request.flow_key)
-        upstream_deadline_ms = self.health.upstream_clock_ms(deadline_s)
-        if upstream_deadline_ms is not None:
-            header = proxyheader.with_deadline(header, upstream_deadline_ms)
-        elif not request.head.is_idempotent:
-            # Without the upstream's clock a delayed send could not be fenced.
-            self._finish_refused(request, Refused(Reason.UPSTREAM_UNREACHABLE))
-            return
+            if self.health.upstream_clock_ms(deadline_s) is None:
+                # Without the upstream's clock a delayed send could not be fenced.
+                self._finish_refused(request, Refused(Reason.UPSTREAM_UNREACHABLE))
+                return
+            check_invariant(
+                request.dispatches == 0,
+                "non_idempotent_dispatched_once",
+                upstream=self.upstream.upstream_id,
+            )
+        self._set_upstream_message_id(request)
         request.record.state = RequestState.DISPATCHED
+        request.may_have_run = True
+        request.dispatches += 1
         request.dispatched_s = now_s
-        self._in_flight[request.key] = request
+        self._in_flight[self._upstream_key(request)] = request
         check_invariant(
             len(self._in_flight) <= self.upstream.slots,
             "slots_not_exceeded",
             upstream=self.upstream.upstream_id,
         )
-        self._timers[request.key] = asyncio.get_running_loop().call_later(
-            deadline_s - now_s + ANSWER_GRACE_S, self._time_out, request
-        )
-        self._send(header + request.payload)
+        self._set_timers(request, deadline_s - now_s)
+        self._send_request(request, deadline_s)
+
+    def _set_timers(self, request: Request, remaining_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        wait_s = remaining_s + ANSWER_GRACE_S
+        timers = [loop.call_later(wait_s, self._time_out, request)]
+        if request.head.is_idempotent:
+            timers.append(loop.call_later(remaining_s / 2, self._resend, request))
+        self._timers[self._upstream_key(request)] = timers
+
+    def _set_upstream_message_id(self, request: Request) -> None:
+        """Keep the caller's message id unless the upstream has seen it."""
+        flow_key, message_id = request.key
+        if request.dispatches > 0 or self._message_ids.is_taken(flow_key, message_id):
+            message_id = self._message_ids.take(
+                flow_key,
+                lambda other: (
+                    self._duplicates.get(RequestKey(flow_key, other)) is not None
+                ),
+            )
+        request.upstream_message_id = message_id
+        request.resent = False
+
+    def _send_request(self, request: Request, deadline_s: float) -> None:
+        header = proxyheader.make_header(request.flow_key)
+        upstream_deadline_ms = self.health.upstream_clock_ms(deadline_s)
+        if upstream_deadline_ms is not None:
+            header = proxyheader.with_deadline(header, upstream_deadline_ms)
+        self._send(header + self._for_upstream(request))
+
+    def _send_cancel(self, request: Request) -> None:
+        header = proxyheader.with_cancel(proxyheader.make_header(request.flow_key))
+        self._send(header + self._for_upstream(request))
+
+    def _for_upstream(self, request: Request) -> bytes:
+        if request.upstream_message_id == request.head.message_id:
+            return request.payload
+        return with_message_id(request.payload, request.upstream_message_id)
+
+    def _for_caller(self, request: Request, head: CoapHead, payload: bytes) -> bytes:
+        if (
+            head.message_type is not MessageType.ACK
+            or head.message_id == request.head.message_id
+        ):
+            return payload
+        return with_message_id(payload, request.head.message_id)
 
     def _match(self, flow_key: FlowKey, head: CoapHead) -> Request | None:
         if head.message_type is MessageType.ACK:
@@ -228,31 +412,112 @@
                 return request
         return None
 
+    def _resend(self, request: Request) -> None:
+        """Send an unanswered idempotent request again, under the same message id."""
+        if (
+            not self._is_in_flight(request)
+            or request.dispatches >= MAX_DISPATCHES
+            or not self._may_repeat(request)
+        ):
+            return
+        request.dispatches += 1
+        request.resent = True
+        self._send_request(request, request.deadline_s)
+
+    def _may_repeat(self, request: Request) -> bool:
+        """Whether policy and budget allow one more dispatch; spends the budget."""
+        return (
+            not self.health.is_down
+            and not self.health.is_shedding
+            and self._policy.may_retry(self.service.service_id, request.caller_id)
+            and self.retry_budget.take()
+        )
+
+    def _upstream_refused(
+        self, request: Request, head: CoapHead, payload: bytes
+    ) -> None:
+        self._release(request)
+        self.health.refused()
+        # A separate answer does not say which dispatch it belongs to, and one of two
+        # copies may have run although the other was refused.
+        if request.resent or (
+            request.dispatches > 1 and head.message_type is not MessageType.ACK
+        ):
+            retry_after_s = 60.0 if head.max_age_s is None else head.max_age_s
+            self._finish_unknown(request, Reason.UPSTREAM_SHED, retry_after_s)
+            return
+        request.may_have_run = False
+        if self._retry_later(request):
+            return
+        self._finish(
+            request, RequestState.REFUSED, self._for_caller(request, head, payload)
+        )
+
+    def _retry_later(self, request: Request) -> bool:
+        """Queue a refused idempotent request again if there is time and budget."""
+        service_time_s = self.admission.service_time_s()
+        delay_s = retry_delay_s(self._environment, service_time_s)
+        if (
+            not request.head.is_idempotent
+            or self._paused
+            or request.dispatches >= MAX_DISPATCHES
+            or self._now_s() + delay_s > self.admission.latest_dispatch_s(request)
+            or not self._may_repeat(request)
+        ):
+            return False
+        request.record.state = RequestState.QUEUED
+        self._retrying.add(request)
+        asyncio.get_running_loop().call_later(delay_s, self._retry, request)
+        return True
+
+    def _retry(self, request: Request) -> None:
+        if request in self._retrying:
+            self._retrying.remove(request)
+            self._enqueue(request)
+
     def _time_out(self, request: Request) -> None:
-        if request.key not in self._in_flight:
+        if not self._is_in_flight(request):
             return
         self._release(request)
-        self.health.failed()
-        cancel = proxyheader.with_cancel(proxyheader.make_header(request.flow_key))
-        self._send(cancel + request.payload)
+        self.health.failed(self._now_s() - request.dispatched_s)
+        self._send_cancel(request)
         self._finish_unknown(request, Reason.TIMEOUT)
         self.pump()
 
+    def _upstream_key(self, request: Request) -> RequestKey:
+        return RequestKey(request.flow_key, request.upstream_message_id)
+
+    def _is_in_flight(self, request: Request) -> bool:
+        return self._in_flight.get(self._upstream_key(request)) is request
+
     def _release(self, request: Request) -> None:
-        del self._in_flight[request.key]
-        self._timers.pop(request.key).cancel()
+        key = self._upstream_key(request)
+        del self._in_flight[key]
+        for timer in self._timers.pop(key):
+            timer.cancel()
+
+    def _refuse(self, request: Request, reason: Reason) -> None:
+        self._finish_refused(request, self.admission.refuse(reason))
 
     def _finish_refused(self, request: Request, outcome: Refused) -> None:
         check_invariant(
-            request.record.state is not RequestState.DISPATCHED,
+            request.record.state is not RequestState.DISPATCHED
+            and not request.may_have_run,
             "not_run_was_not_dispatched",
             upstream=self.upstream.upstream_id,
         )
+        if self._gate.lease_remaining_s() <= 0:
+            # A repeat of the request may have run under the shard's next owner.
+            self._finish_unknown(request, Reason.NO_LEASE, outcome.retry_after_s)
+            return
         answer = coapcodec.refusal(request.head, outcome)
         self._finish(request, RequestState.REFUSED, answer)
 
-    def _finish_unknown(self, request: Request, reason: Reason) -> None:
-        answer = coapcodec.outcome_unknown(request.head, OutcomeUnknown(reason))
+    def _finish_unknown(
+        self, request: Request, reason: Reason, retry_after_s: float = 1.0
+    ) -> None:
+        outcome = OutcomeUnknown(reason, retry_after_s)
+        answer = coapcodec.outcome_unknown(request.head, outcome)
         self._finish(request, RequestState.UNKNOWN, answer)
 
     def _finish(self, request: Request, state: RequestState, answer: bytes) -> None:
@@ -261,6 +526,7 @@
             "one_final_answer",
             upstream=self.upstream.upstream_id,
         )
+        self._open.pop(request.key, None)
         request.record.state = state
         request.record.answer = answer
         self._gate.finished(request)
--- a/src/wisteriatiller/shardtable.py
+++ b/src/wisteriatiller/shardtable.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 
 from .config import ConfigSource, Configuration, Upstream
-from .dispatch import UpstreamDispatcher
+from .dispatch import DispatchPolicy, UpstreamDispatcher
 from .environment import Environment
 from .exceptions import check_invariant
-from .health import UpstreamHealth
+from .health import HealthListener, UpstreamHealth
 from .ids import FlowKey, ShardId, UpstreamId
 from .lease import ShardLeases
 from .ports import DatagramPort
@@ -14,7 +14,11 @@
 
 
 class ShardTable:
-    """Owned shards by id and by upstream, with the dispatchers of their upstreams."""
+    """Owned shards by id and by upstream, with the dispatchers of their upstreams.
+
+    ``policy`` is given to each new dispatcher, and ``on_health`` is called with the
+    changes of each upstream's health.
+    """
 
     def __init__(
         self,
@@ -24,6 +28,8 @@
         answer,
     ):
         self.upstream_port: DatagramPort | None = None
+        self.policy = DispatchPolicy()
+        self.on_health: HealthListener = lambda upstream_id, event: None
         self._environment = environment
         self._source = source
         self._leases = leases
@@ -44,7 +50,10 @@
         return owned
 
     def remove(self, shard: ShardId) -> None:
-        self._shards.pop(shard, None)
+        owned = self._shards.pop(shard, None)
+        if owned is not None:
+            for dispatcher in owned.dispatchers.values():
+                dispatcher.close()
 
     def get(self, shard: ShardId) -> OwnedShard | None:
         """The shard, if this host holds its lease now."""
@@ -76,15 +85,20 @@
         dispatcher = owned.dispatchers.get(upstream.upstream_id)
         if dispatcher is None:
             service = self._source.configuration.services[upstream.service_id]
+            health = UpstreamHealth(
+                self._environment, upstream.upstream_id, service.slow_start_s
+            )
+            health.subscribe(lambda *change: self.on_health(*change))
             dispatcher = UpstreamDispatcher(
                 self._environment,
                 service,
                 upstream,
                 owned.duplicates,
                 owned,
-                UpstreamHealth(self._environment, upstream.upstream_id),
+                health,
                 lambda data: self.send(upstream, data),
                 self._answer,
+                self.policy,
             )
             owned.dispatchers[upstream.upstream_id] = dispatcher
         return dispatcher
