--- a/src/wisteriatiller/health.py
+++ b/src/wisteriatiller/health.py
@@ -116,10 +116,14 @@
         An upstream can be down for its failed requests and still answer probes: it
         is then overloaded or stuck, and its flows may go on later.
         """
+        return self.silence_s < MAX_PROBE_SILENCE_S
+
+    @property
+    def silence_s(self) -> float:
+        """Time since the first probe that has no answer yet; 0 without one."""
         if self._unanswered_since_s is None:
-            return True
-        silence_s = self._environment.clock.now_s() - self._unanswered_since_s
-        return silence_s < MAX_PROBE_SILENCE_S
+            return 0.0
+        return self._environment.clock.now_s() - self._unanswered_since_s
 
     def handle_probe_answer(self, header: proxyheader.LocalHeader) -> None:
         """Take an answer; raise ``MessageError`` if it answers no probe of ours."""
--- a/src/wisteriatiller/membership.py
+++ b/src/wisteriatiller/membership.py
@@ -42,10 +42,6 @@
     def is_live(self, host_id: HostId) -> bool:
         """Whether the host answers probes; a leaving host still counts."""
 
-    @abstractmethod
-    def zone_reachable(self, zone: ZoneId) -> bool:
-        """Whether any host of the zone answered lately."""
-
     @abstractmethod
     def address_of(self, host_id: HostId) -> Address | None: ...
 
