--- a/src/wisteriatiller/upkeep.py
+++ b/src/wisteriatiller/upkeep.py
@@ -7,12 +7,16 @@
 from .environment import Environment
 from .flowmessages import CheckAnswer, CheckFlows
 from .flows import FlowRecord, FlowState
-from .health import PROBE_INTERVAL_S
+from .health import PROBE_INTERVAL_S, HealthEvent
 from .ids import FlowKey, UpstreamId
+from .logs import log_event
 from .ownership import Ownership
 from .shard import OwnedShard
 from .shardtable import ShardTable
 
+# An upstream that is silent for a shorter time may only be cut off, and its flows go
+# on afterwards.
+LOST_AFTER_S = 10.0
 SWEEP_INTERVAL_S = 5.0
 CHECK_BATCH = 500
 CHECK_TIMEOUT_S = 1.0
@@ -32,6 +36,7 @@
         self._source = source
         self._ownership = ownership
         self._shards = shards
+        shards.on_health = self._health_changed
 
     async def probe_upstreams(self) -> None:
         """Probe every upstream of the owned shards until cancelled."""
@@ -40,8 +45,22 @@
                 for upstream in self._shards.upstreams_of(owned):
                     dispatcher = self._shards.dispatcher(owned, upstream)
                     self._shards.send(upstream, dispatcher.health.probe())
+                    if dispatcher.health.silence_s > LOST_AFTER_S:
+                        self._lose_flows(owned, upstream.upstream_id)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
+    def _health_changed(self, upstream_id: UpstreamId, event: HealthEvent) -> None:
+        log_event("upstream_health", upstream=upstream_id, change=event.value)
+        owned = self._shards.of_upstream(upstream_id)
+        if event is HealthEvent.RESTARTED and owned is not None:
+            self._lose_flows(owned, upstream_id)
+
+    def _lose_flows(self, owned: OwnedShard, upstream_id: UpstreamId) -> None:
+        """The sessions of a dead or restarted upstream are gone."""
+        lost = owned.flows.lose(upstream_id)
+        if lost:
+            log_event("flows_lost", upstream=upstream_id, flows=lost)
+
     async def sweep(self) -> None:
         """Expire idle flows and old request records until cancelled."""
         while True:
