--- /dev/null
+++ b/src/wisteriatiller/admin.py
@@ -0,0 +1,132 @@
+"""The admin address of a host, over HTTP with JSON answers.
+
+``/status`` tells what the host does, ``/revision`` which configuration it runs, and
+``/report`` what its requests came to. The host passes in a callable for each::
+
+    admin = AdminServer(settings.admin_listen, {"/status": host.status})
+    admin.start()
+"""
+
+import asyncio
+import json
+from collections.abc import Callable, Iterable, Mapping
+
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from .configstore import ConfigFollower
+from .ids import Address, HostId
+from .logs import log_event
+from .outcomes import Reason, Unreachable
+from .platformhosts import PlatformHost
+
+# Requests have no body; a larger one is an error or an attack.
+MAX_REQUEST_BYTES = 16_384
+IDLE_TIMEOUT_S = 30.0
+MAX_ANSWER_BYTES = 8_000_000
+# A command asks all hosts; this bounds its open sockets at 1,700 hosts.
+MAX_CONCURRENT_ASKS = 100
+
+Provider = Callable[[], Mapping]
+
+
+class AdminServer:
+    """Serves the providers' values as JSON."""
+
+    def __init__(self, listen: Address, providers: Mapping[str, Provider]):
+        self._listen = listen
+        routes = [
+            (path, _Handler, {"path": path, "provider": provider})
+            for path, provider in providers.items()
+        ]
+        application = Application(routes, log_function=lambda handler: None)
+        self._server = HTTPServer(
+            application,
+            max_buffer_size=MAX_REQUEST_BYTES,
+            max_body_size=MAX_REQUEST_BYTES,
+            max_header_size=MAX_REQUEST_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+        )
+
+    def start(self) -> None:
+        self._server.listen(self._listen.port, self._listen.ip)
+
+    async def stop(self) -> None:
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+class _Handler(RequestHandler):
+    def initialize(self, path: str, provider: Provider):
+        self._path = path
+        self._provider = provider
+
+    def get(self):
+        try:
+            body = json.dumps(self._provider(), default=str)
+        except Exception as error:
+            # A fault in a view must not end the host, which serves requests.
+            log_event("admin_failed", level="error", path=self._path, detail=error)
+            self.send_error(500)
+            return
+        self.set_header("Content-Type", "application/json")
+        self.finish(body)
+
+    def write_error(self, status_code, **_):
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps({"error": status_code}))
+
+
+def revision_view(host_id: HostId, follower: ConfigFollower) -> dict:
+    """What ``/revision`` answers."""
+    record = follower.record
+    return {
+        "host_id": host_id,
+        "revision": record.revision,
+        "submission_id": record.submission_id,
+        "history": list(record.history),
+        "watches_store": follower.watches_store(),
+        "store_away": follower.store_away,
+    }
+
+
+class AdminClient:
+    """Asks the admin addresses of hosts."""
+
+    def __init__(self):
+        self._client = AsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_CONCURRENT_ASKS,
+            max_body_size=MAX_ANSWER_BYTES,
+        )
+
+    def close(self) -> None:
+        self._client.close()
+
+    async def ask(
+        self, address: Address, path: str, timeout_s: float
+    ) -> dict | Unreachable:
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(request)
+            answer = json.loads(response.body)
+        except (HTTPError, OSError, ValueError, RecursionError):
+            return Unreachable(Reason.TIMEOUT)
+        return answer if isinstance(answer, dict) else Unreachable(Reason.TIMEOUT)
+
+    async def ask_all(
+        self, hosts: Iterable[PlatformHost], path: str, timeout_s: float
+    ) -> dict[HostId, dict | Unreachable]:
+        hosts = tuple(hosts)
+        answers = await asyncio.gather(
+            *(self.ask(host.admin, path, timeout_s) for host in hosts)
+        )
+        return {
+            host.host_id: answer for host, answer in zip(hosts, answers, strict=True)
+        }
--- a/src/wisteriatiller/configstore.py
+++ b/src/wisteriatiller/configstore.py
@@ -162,6 +162,8 @@
         outcome = await attempt.step(expected_revision)
         if not isinstance(outcome, StoreUnavailable):
             return outcome
+        if attempt.wrote:
+            outcome = StoreUnavailable(outcome.detail, may_have_written=True)
         if loop.time() + READ_BACK_INTERVAL_S > deadline_s:
             return outcome
         await asyncio.sleep(READ_BACK_INTERVAL_S)
@@ -181,6 +183,7 @@
         self._name = name
         self._running_revision = running_revision
         self._base: tuple[Revision, SubmissionId] | None = None
+        self.wrote = False
 
     async def step(self, expected_revision: Revision | None) -> SubmitOutcome:
         read = await read_record(self._store)
@@ -215,6 +218,7 @@
         if isinstance(data, RecordInvalid):
             problem = TextProblem(self._name, 1, "", data.detail, "a smaller text")
             return TextProblems((problem,))
+        self.wrote = True
         written = await self._store.compare_and_swap(
             CONFIG_KEY, data, index if former.revision else 0
         )
@@ -223,9 +227,7 @@
         if isinstance(written, Conflict):
             # The next attempt reads who was first; it may have been this submission.
             return StoreUnavailable("another write came first")
-        return StoreUnavailable(
-            f"{written.detail}; submission {self._submission_id} may have taken effect"
-        )
+        return written
 
     def _own_revision(self, record: ConfigRecord) -> Revision:
         chain = (record.submission_id, *record.history)
--- a/src/wisteriatiller/configtext.py
+++ b/src/wisteriatiller/configtext.py
@@ -17,12 +17,14 @@
     Service,
     Upstream,
 )
-from .ids import Address, ServiceId, UpstreamId, ZoneId
+from .configrecord import ConfigRecord, RecordInvalid, encode_record
+from .ids import Address, ServiceId, SubmissionId, UpstreamId, ZoneId
 from .textcheck import (
     Checker,
     Field,
     KeyPath,
     NotAllowed,
+    TextProblem,
     TextProblems,
     address,
     boolean,
@@ -89,11 +91,18 @@
     problems = checker.result()
     if problems is not None:
         return problems
-    return Configuration(
+    configuration = Configuration(
         services=services,
         shard_count=values["shard_count"],
         text=text.decode("utf-8"),
     )
+    # The store holds the record, which a text with few repetitions can make larger
+    # than the text itself.
+    record = encode_record(ConfigRecord(configuration, SubmissionId("")))
+    if isinstance(record, RecordInvalid):
+        problem = TextProblem(name, 1, "", record.detail, "a smaller text")
+        return TextProblems((problem,))
+    return configuration
 
 
 def _service(checker: Checker, service_id: str, raw: object) -> Service | None:
--- /dev/null
+++ b/src/wisteriatiller/fleet.py
@@ -0,0 +1,127 @@
+"""What the commands ask of all hosts: revisions, and when a change is in force."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from .admin import AdminClient
+from .ids import NO_REVISION, Address, HostId, Revision, SubmissionId, ZoneId
+from .outcomes import StoreUnavailable, Unreachable
+from .platformhosts import PlatformHost, read_platform_hosts
+from .ports import Store
+
+POLL_INTERVAL_S = 0.5
+POLL_TIMEOUT_S = 2.0
+# The platform's list changes while a command waits, as hosts come and go.
+HOST_LIST_INTERVAL_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """On which live hosts a submission is in force."""
+
+    revision: Revision = NO_REVISION
+    total: int = 0
+    in_force: int = 0
+    lagging: tuple[HostId, ...] = ()
+    silent: tuple[HostId, ...] = ()
+    # A revision that hosts run and that the submission did not lead to, or 0.
+    replaced_by: Revision = NO_REVISION
+
+    @property
+    def complete(self) -> bool:
+        return self.total > 0 and self.in_force == self.total
+
+
+async def find_hosts(
+    store: Store, addresses: Sequence[Address]
+) -> tuple[PlatformHost, ...] | StoreUnavailable:
+    """The hosts at the given admin addresses, or those of the platform's list."""
+    if addresses:
+        return tuple(
+            PlatformHost(HostId(str(address)), ZoneId("-"), address)
+            for address in addresses
+        )
+    return await read_platform_hosts(store)
+
+
+async def running_revision(
+    client: AdminClient, hosts: Sequence[PlatformHost], timeout_s: float
+) -> Revision:
+    """The highest revision that any host runs."""
+    answers = await client.ask_all(hosts, "/revision", timeout_s)
+    return Revision(max(map(_revision, answers.values()), default=NO_REVISION))
+
+
+async def wait_in_force(
+    store: Store,
+    client: AdminClient,
+    submission_id: SubmissionId,
+    wait_s: float,
+    say: Callable[[str], None],
+) -> Progress:
+    """Wait until the submission is in force on all live hosts.
+
+    A host counts if it runs the submission or one that followed it. Leaving hosts
+    are not waited for.
+    """
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + wait_s
+    progress = Progress()
+    hosts: tuple[PlatformHost, ...] = ()
+    hosts_read_s = -HOST_LIST_INTERVAL_S
+    while True:
+        if loop.time() - hosts_read_s >= HOST_LIST_INTERVAL_S or not hosts:
+            found = await read_platform_hosts(store)
+            if not isinstance(found, StoreUnavailable):
+                hosts = tuple(host for host in found if not host.leaving)
+                hosts_read_s = loop.time()
+        answers = await client.ask_all(hosts, "/revision", POLL_TIMEOUT_S)
+        former, progress = progress, judge(answers, submission_id)
+        if (progress.in_force, progress.total) != (former.in_force, former.total):
+            say(f"in force on {progress.in_force} of {progress.total} live hosts")
+        late = loop.time() + POLL_INTERVAL_S > deadline_s
+        if progress.complete or progress.replaced_by or late:
+            return progress
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def judge(
+    answers: dict[HostId, dict | Unreachable], submission_id: SubmissionId
+) -> Progress:
+    """Sort the hosts by whether they run the submission."""
+    running, lagging, silent, others = [], [], [], []
+    for host_id, answer in answers.items():
+        if isinstance(answer, Unreachable):
+            silent.append(host_id)
+        elif _contains(answer, submission_id):
+            running.append(host_id)
+        else:
+            lagging.append(host_id)
+            others.append(_revision(answer))
+    revisions = [_revision(answers[host_id]) for host_id in running]
+    revision = max(revisions, default=NO_REVISION)
+    # A host beyond every host that runs the submission has lost it for good, as the
+    # history reaches back further than a command waits.
+    highest = max(others, default=NO_REVISION)
+    replaced = bool(revisions) and highest > revision
+    return Progress(
+        revision=Revision(revision),
+        total=len(answers),
+        in_force=len(running),
+        lagging=tuple(sorted(lagging)),
+        silent=tuple(sorted(silent)),
+        replaced_by=Revision(highest) if replaced else NO_REVISION,
+    )
+
+
+def _revision(answer: object) -> int:
+    revision = answer.get("revision") if isinstance(answer, dict) else None
+    return revision if type(revision) is int else NO_REVISION
+
+
+def _contains(answer: dict, submission_id: SubmissionId) -> bool:
+    history = answer.get("history")
+    return answer.get("submission_id") == submission_id or (
+        isinstance(history, list) and submission_id in history
+    )
--- a/src/wisteriatiller/outcomes.py
+++ b/src/wisteriatiller/outcomes.py
@@ -80,6 +80,7 @@
     """The store did not answer; a write may still have taken effect."""
 
     detail: str
+    may_have_written: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wisteriatiller/platformhosts.py
@@ -0,0 +1,50 @@
+"""The platform's list of hosts, as the store holds it."""
+
+import json
+from dataclasses import dataclass
+
+from .ids import Address, HostId, ZoneId
+from .outcomes import StoreUnavailable
+from .ports import Store, StoreEntry
+from .textcheck import NotAllowed, address, identifier
+
+HOSTS_KEY = "platform/hosts"
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformHost:
+    """One host of the list."""
+
+    host_id: HostId
+    zone: ZoneId
+    admin: Address
+    leaving: bool = False
+
+
+async def read_platform_hosts(
+    store: Store,
+) -> tuple[PlatformHost, ...] | StoreUnavailable:
+    """The listed hosts; entries that are not valid are left out."""
+    entry = await store.get(HOSTS_KEY)
+    if isinstance(entry, StoreUnavailable):
+        return entry
+    if not isinstance(entry, StoreEntry):
+        return ()
+    try:
+        items = json.loads(entry.value)
+    except (ValueError, RecursionError) as error:
+        return StoreUnavailable(f"{HOSTS_KEY}: {error}")
+    hosts = (_host(item) for item in (items if isinstance(items, list) else ()))
+    return tuple(host for host in hosts if host is not None)
+
+
+def _host(item: object) -> PlatformHost | None:
+    try:
+        return PlatformHost(
+            HostId(identifier(item["host_id"])),
+            ZoneId(identifier(item["zone"])),
+            address(item["admin"]),
+            leaving=item.get("state") != "live",
+        )
+    except (NotAllowed, LookupError, TypeError, AttributeError):
+        return None
--- a/src/wisteriatiller/settings.py
+++ b/src/wisteriatiller/settings.py
@@ -1,6 +1,5 @@
 """Settings of one host, read from JSON with comments."""
 
-import re
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -19,6 +18,7 @@
     number,
     optional,
     parse_text,
+    store_url,
 )
 
 # Digests between hosts have 16 bytes; a shorter key would be the weaker part.
@@ -52,18 +52,6 @@
     stop_timeout_s: float = 20.0
 
 
-def _store_url(value):
-    allowed = 'a URL with an IP number such as "http://10.0.0.5:8500"'
-    match = re.fullmatch(r"https?://([^/?#@]+)/?", value if type(value) is str else "")
-    if match is None:
-        raise NotAllowed(allowed)
-    try:
-        address(match[1])
-    except NotAllowed:
-        raise NotAllowed(allowed) from None
-    return value
-
-
 def _peer_key(value):
     allowed = f"hexadecimal digits for at least {MIN_PEER_KEY_BYTES} bytes"
     try:
@@ -92,7 +80,7 @@
     ),
     "store_urls": Field(
         list_of(
-            _store_url,
+            store_url,
             'a list of at least one URL such as "http://10.0.0.5:8500"',
             least=1,
         ),
--- a/src/wisteriatiller/textcheck.py
+++ b/src/wisteriatiller/textcheck.py
@@ -441,6 +441,18 @@
     return address(value, unspecified=True)
 
 
+def store_url(value):
+    allowed = 'a URL with an IP number such as "http://10.0.0.5:8500"'
+    match = re.fullmatch(r"https?://([^/?#@]+)/?", value if type(value) is str else "")
+    if match is None:
+        raise NotAllowed(allowed)
+    try:
+        address(match[1])
+    except NotAllowed:
+        raise NotAllowed(allowed) from None
+    return value
+
+
 def optional(check: FieldCheck) -> FieldCheck:
     def check_or_none(value):
         return None if value is None else check(value)
