--- a/src/wisteriatiller/cli.py
+++ b/src/wisteriatiller/cli.py
@@ -102,7 +102,7 @@
         settings = load_settings(Path(self.option("settings")))
         configure_logs(verbose=self.io.is_verbose())
         # Loaded here, since the other commands need no balancer.
-        from .runtime import run
+        from .process import run
 
         return run(settings) or DONE
 
--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -21,6 +21,7 @@
 from .ids import CallerId, FlowKey, ServiceId, UpstreamId
 from .outcomes import OutcomeUnknown, Reason, Refused
 from .queueing import FairQueue, Request
+from .report import RequestOutcome
 from .retries import (
     MAX_DISPATCHES,
     RetryBudget,
@@ -38,6 +39,13 @@
 MIN_EXPIRY_WAIT_S = 0.001
 
 
+_OUTCOMES = {
+    RequestState.ANSWERED: RequestOutcome.ANSWERED,
+    RequestState.REFUSED: RequestOutcome.REFUSED,
+    RequestState.UNKNOWN: RequestOutcome.OUTCOME_UNKNOWN,
+}
+
+
 class DispatchGate(ABC):
     """What the owner of the shard allows a dispatcher to do."""
 
@@ -537,7 +545,18 @@
         request.record.answer = answer
         self._gate.finished(request)
         self._answer(request.flow_key, answer)
+        self._count(request)
         self._environment.metrics.count(f"requests.{state.value}")
 
+    def _count(self, request: Request) -> None:
+        latency_s = self._now_s() - request.received_s
+        outcome = _OUTCOMES[request.record.state]
+        if outcome is RequestOutcome.ANSWERED and self._now_s() > request.deadline_s:
+            outcome = RequestOutcome.LATE
+        ran_on = self.upstream.upstream_id if request.dispatched_s else None
+        self._environment.service_level.record(
+            self.service.service_id, outcome, ran_on, latency_s
+        )
+
     def _now_s(self) -> float:
         return self._environment.clock.now_s()
--- a/src/wisteriatiller/environment.py
+++ b/src/wisteriatiller/environment.py
@@ -11,6 +11,7 @@
     RandomSource,
     Store,
 )
+from .report import ServiceLevel
 from .settings import HostSettings
 
 
@@ -25,3 +26,7 @@
     metrics: Metrics
     clock: Clock = field(default_factory=LoopClock)
     random: RandomSource = field(default_factory=RandomSource)
+    service_level: ServiceLevel = field(init=False)
+
+    def __post_init__(self):
+        self.service_level = ServiceLevel(self.clock)
