Place flows by bounded load and refuse early for dependencies

The chooser keeps a flow at home unless the home exceeds its share of the open flows by 2%; the share follows slow start and measured speed. Requests are refused early with the pressure of the service's dependencies.

--- a/src/wisteriatiller/admission.py
+++ b/src/wisteriatiller/admission.py
@@ -139,6 +139,14 @@
         work = len(self._queue) + self._residual()
         return work * self.service_time_s() / self.allowed_slots()
 
+    def pressure(self) -> float:
+        """The backlog as a share of the wait that admission allows, at most 1."""
+        longest_s = self.deadline_s - ADMISSION_SERVICE_TIMES * self.service_time_s()
+        if longest_s <= 0:
+            return 1.0
+        waiting_s = len(self._queue) * self.service_time_s() / self.allowed_slots()
+        return min(1.0, waiting_s / longest_s)
+
     def latest_dispatch_s(self, request: Request) -> float:
         """When it is too late to dispatch the request."""
         return request.deadline_s - DISPATCH_SERVICE_TIMES * self.service_time_s()
--- /dev/null
+++ b/src/wisteriatiller/balance.py
@@ -0,0 +1,139 @@
+"""Choice of the upstream for a new flow by bounded load.
+
+A flow is placed on its home, the upstream that every host computes, unless the home
+has clearly more than its share of the service's open flows. The bound keeps most
+flows at home, where no record of an exception is needed, and still evens out what
+hashing alone leaves uneven.
+"""
+
+import statistics
+from dataclasses import dataclass
+
+from .config import ConfigSource, Service
+from .environment import Environment
+from .ids import FlowKey, ServiceId, UpstreamId
+from .loads import LoadBoard, UpstreamLoad
+from .opening import UpstreamChooser
+
+MAX_EXCESS = 0.02
+CHOICES = 2
+# A cold upstream gets a few flows from the start, so that it has something to warm
+# up with.
+MIN_SHARE = 0.05
+# Answer times of equal upstreams differ by chance; only a clear difference counts.
+SLOW_FACTOR = 1.3
+# The sums over a service's upstreams are kept for this long, so that opening a flow
+# does not cost a pass over all of them.
+VIEW_LIFETIME_S = 0.1
+
+
+@dataclass(slots=True)
+class _View:
+    """Sums over the available upstreams of one service."""
+
+    made_s: float
+    open_flows: float
+    # The weight of each available upstream, after cold start and measured speed.
+    weights: dict[UpstreamId, float]
+    sum_of_weights: float
+
+
+class BoundedLoadChooser(UpstreamChooser):
+    """Home, unless it has more than its share of the open flows.
+
+    Then the less loaded of the two upstreams that rank next for the flow and are
+    within their own bounds.
+    """
+
+    def __init__(
+        self, environment: Environment, source: ConfigSource, board: LoadBoard
+    ):
+        self._environment = environment
+        self._source = source
+        self._board = board
+        self._views: dict[ServiceId, _View] = {}
+
+    def choose(
+        self, service: Service, flow_key: FlowKey, home: UpstreamId
+    ) -> UpstreamId:
+        view = self._view(service)
+        chosen = self._choose(service, flow_key, home, view)
+        view.open_flows += 1
+        if chosen != home:
+            self._board.note_placed(chosen)
+            self._environment.metrics.count("balance.away_from_home")
+        return chosen
+
+    def _choose(self, service, flow_key, home, view: _View) -> UpstreamId:
+        if self._has_room(view, home):
+            return home
+        table = self._source.configuration.tables[service.service_id]
+        others = [
+            upstream_id
+            for upstream_id in table.ranked(flow_key)
+            if upstream_id != home and upstream_id in view.weights
+        ]
+        roomy = []
+        for upstream_id in others:
+            if self._has_room(view, upstream_id):
+                roomy.append(upstream_id)
+                if len(roomy) == CHOICES:
+                    break
+        candidates = roomy or others
+        if home in view.weights and not roomy:
+            candidates = [home, *others]
+        if not candidates:
+            return home
+        return min(candidates, key=lambda item: self._relative_load(view, item))
+
+    def _has_room(self, view: _View, upstream_id: UpstreamId) -> bool:
+        weight = view.weights.get(upstream_id)
+        if weight is None:
+            return False
+        load = self._board.load_of(upstream_id)
+        if load is None:
+            # Nothing is known against it: the others' loads may be unknown as well.
+            return True
+        share = weight / view.sum_of_weights
+        return load.open_flows < (1 + MAX_EXCESS) * (view.open_flows + 1) * share
+
+    def _relative_load(self, view: _View, upstream_id: UpstreamId) -> float:
+        load = self._board.load_of(upstream_id)
+        open_flows = 0.0 if load is None else load.open_flows
+        return open_flows / view.weights[upstream_id]
+
+    def _view(self, service: Service) -> _View:
+        now_s = self._environment.clock.now_s()
+        view = self._views.get(service.service_id)
+        if view is None or now_s - view.made_s > VIEW_LIFETIME_S:
+            view = self._views[service.service_id] = self._make_view(service, now_s)
+        return view
+
+    def _make_view(self, service: Service, now_s: float) -> _View:
+        loads = {}
+        for upstream in service.upstreams.values():
+            load = self._board.load_of(upstream.upstream_id)
+            if load is not None and not upstream.drain and upstream.weight > 0:
+                loads[upstream.upstream_id] = load
+        typical_s = _typical_service_time_s(loads.values())
+        weights = {
+            upstream_id: service.upstreams[upstream_id].weight
+            * max(MIN_SHARE, load.share)
+            * _speed(load, typical_s)
+            for upstream_id, load in loads.items()
+            if load.share > 0
+        }
+        open_flows = sum(loads[upstream_id].open_flows for upstream_id in weights)
+        return _View(now_s, open_flows, weights, sum(weights.values()))
+
+
+def _typical_service_time_s(loads) -> float:
+    measured = [load.service_time_s for load in loads if load.service_time_s > 0]
+    return statistics.median_low(measured) if measured else 0.0
+
+
+def _speed(load: UpstreamLoad, typical_s: float) -> float:
+    """The rate of a clearly slower upstream compared with a typical one."""
+    if load.service_time_s <= SLOW_FACTOR * typical_s or typical_s == 0:
+        return 1.0
+    return typical_s / load.service_time_s
--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -210,6 +210,12 @@
         self.admission.reconfigure(service, upstream)
         self.pump()
 
+    def pressure(self) -> float:
+        """From 0 to 1: how much of the time up to the deadline is backlog."""
+        if self.health.is_down or self.health.is_shedding:
+            return 1.0
+        return self.admission.pressure()
+
     def pause(self) -> None:
         """Stop dispatching; requests in flight go on.
 
--- a/src/wisteriatiller/health.py
+++ b/src/wisteriatiller/health.py
@@ -28,6 +28,8 @@
 DEFAULT_SLOW_START_S = 10.0
 # The mean of answer times follows a change within some tens of answers.
 SERVICE_TIME_GAIN = 0.1
+# The balance of flows needs a steadier mean: equal upstreams must look equal.
+MEAN_SERVICE_TIME_GAIN = 0.02
 
 
 class HealthEvent(Enum):
@@ -68,6 +70,7 @@
         self.upstream_id = upstream_id
         self.report: dict = {}
         self.service_time_s: float | None = None
+        self.mean_service_time_s: float | None = None
         self.is_down = False
         self.in_flight = in_flight
         self._listeners: list[HealthListener] = []
@@ -80,6 +83,7 @@
         self._report_at_s = 0.0
         self._reported_cold = False
         self._ramp_start_s: float | None = None
+        self._samples = 0
         self._failures = 0
         self._successes = 0
         self._success_since_s = 0.0
@@ -266,11 +270,20 @@
             self._go_down()
 
     def _measure(self, latency_s: float) -> None:
-        if self.service_time_s is None:
-            self.service_time_s = latency_s
-        else:
-            change_s = latency_s - self.service_time_s
-            self.service_time_s += SERVICE_TIME_GAIN * change_s
+        self._samples += 1
+        self.service_time_s = self._moved(
+            self.service_time_s, latency_s, SERVICE_TIME_GAIN
+        )
+        self.mean_service_time_s = self._moved(
+            self.mean_service_time_s, latency_s, MEAN_SERVICE_TIME_GAIN
+        )
+
+    def _moved(self, mean_s: float | None, latency_s: float, gain: float) -> float:
+        # The first answers are averaged plainly: one slow answer at the start would
+        # otherwise mark the upstream as slow for many answers.
+        if mean_s is None:
+            return latency_s
+        return mean_s + max(gain, 1 / self._samples) * (latency_s - mean_s)
 
     # Down and up
 
--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -3,17 +3,20 @@
 import asyncio
 from collections.abc import Coroutine
 
+from .balance import BoundedLoadChooser
 from .config import ConfigSource
 from .environment import Environment
 from .flowservice import FlowService
 from .ids import Address, FlowKey, ShardId
 from .ingress import Ingress
 from .lease import ShardLeases
+from .loads import LoadBoard
 from .membership import Membership
 from .opening import FlowOpener, UpstreamChooser
 from .owner import Owner
 from .ownership import Ownership
 from .ports import DatagramPort
+from .pressure import DependencyPolicy
 from .shardtable import ShardTable
 from .tasks import spawn
 from .upkeep import Upkeep
@@ -28,7 +31,7 @@
         membership: Membership,
         leases: ShardLeases,
         source: ConfigSource,
-        chooser: UpstreamChooser,
+        chooser: UpstreamChooser | None = None,
     ):
         self.environment = environment
         self.membership = membership
@@ -38,6 +41,9 @@
         self.shards = ShardTable(environment, source, leases, self._answer)
         self.upkeep = Upkeep(environment, source, self.ownership, self.shards)
         self.flow_service = FlowService(environment, source, self.shards)
+        self.loads = LoadBoard(environment, source, self.ownership, self.shards)
+        self.shards.policy = DependencyPolicy(environment, source, self.loads)
+        chooser = chooser or BoundedLoadChooser(environment, source, self.loads)
         opener = FlowOpener(environment, membership, self.ownership, source, chooser)
         self.owner = Owner(
             environment,
@@ -62,6 +68,7 @@
         self.ingress.upstream_port = self.shards.upstream_port
         self._run(self.upkeep.probe_upstreams(), "probe upstreams")
         self._run(self.upkeep.sweep(), "sweep")
+        self._run(self.loads.exchange(), "exchange loads")
         self.ingress.fabric_port = await self._open(
             settings.fabric_listen, self.ingress.receive
         )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -23,7 +23,6 @@
 from wisteriatiller.ids import Address, Revision, ServiceId, UpstreamId, ZoneId
 from wisteriatiller.lease import StaticLeases
 from wisteriatiller.membership import StaticMembership
-from wisteriatiller.opening import HomeChooser
 from wisteriatiller.ownership import Ownership
 from wisteriatiller.runtime import Host
 
@@ -126,7 +125,6 @@
             membership,
             StaticLeases(ownership.is_first),
             StaticSource(configuration),
-            HomeChooser(),
         )
         for shard in {
             configuration.shard_of(upstream)
