--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 
+from .balance import BoundedLoadChooser
 from .config import ConfigSource
 from .environment import Environment
 from .flowservice import FlowService
@@ -11,11 +12,13 @@
 from .ids import Address, FlowKey, ShardId
 from .ingress import Ingress
 from .lease import ShardLeases
+from .loads import LoadBoard
 from .membership import Membership
 from .opening import FlowOpener, UpstreamChooser
 from .owner import Owner
 from .ownership import Ownership
 from .ports import DatagramPort
+from .pressure import DependencyPolicy
 from .shardtable import ShardTable
 from .tasks import spawn
 from .upkeep import Upkeep
@@ -30,7 +33,7 @@
         membership: Membership,
         leases: ShardLeases,
         source: ConfigSource,
-        chooser: UpstreamChooser,
+        chooser: UpstreamChooser | None = None,
     ):
         self.environment = environment
         self.membership = membership
@@ -44,6 +47,9 @@
         self.healing = ZoneHealing(
             environment, membership, self.ownership, source, homes, self.shards
         )
+        self.loads = LoadBoard(environment, source, self.ownership, self.shards)
+        self.shards.policy = DependencyPolicy(environment, source, self.loads)
+        chooser = chooser or BoundedLoadChooser(environment, source, self.loads)
         opener = FlowOpener(environment, self.ownership, source, homes, chooser)
         self.owner = Owner(
             environment,
@@ -70,6 +76,7 @@
         self._run(self.upkeep.probe_upstreams(), "probe upstreams")
         self._run(self.upkeep.sweep(), "sweep")
         self._run(self.healing.run(), "zone healing")
+        self._run(self.loads.exchange(), "exchange loads")
         self.ingress.fabric_port = await self._open(
             settings.fabric_listen, self.ingress.receive
         )
