--- a/src/wisteriatiller/logs.py
+++ b/src/wisteriatiller/logs.py
@@ -10,7 +10,7 @@
 import re
 import time
 
-from absl import logging
+from absl import flags, logging
 
 _PLAIN = re.compile(r"[^\s\"=\\\x00-\x1f\x7f-\x9f]+")
 _SECRET_NAME = re.compile(r"(?:peer_keys?|.*(?:secret|password|token))")
@@ -36,9 +36,10 @@
 
 def configure_logs(verbose: bool = False) -> None:
     """Send the log lines to standard error, with time and level in front."""
+    # absl warns of logging before flags are parsed; this program has none.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
-    logging.set_stderrthreshold("debug")
     handler = logging.get_absl_handler()
     handler.setFormatter(_LineFormatter())
 
@@ -50,10 +51,11 @@
         seconds = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
         level = record.levelname.lower()
         message = record.getMessage()
-        if record.exc_info:
-            message += "\n" + self.formatException(record.exc_info)
         if not message.startswith("event=") or "\n" in message:
             message = event_line("library_log", logger=record.name, message=message)
+        if record.exc_info:
+            traceback = self.formatException(record.exc_info)
+            message += f" traceback={json.dumps(traceback)}"
         return f"time={seconds}.{int(record.msecs):03d}Z level={level} {message}"
 
 
--- a/src/wisteriatiller/store_consul.py
+++ b/src/wisteriatiller/store_consul.py
@@ -1,10 +1,11 @@
 """The platform's store, accessed in the shape of Consul's KV HTTP API."""
 
+import asyncio
 import base64
 import json
 from urllib.parse import quote, urlencode
 
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
 
 from .ids import NO_REVISION
 from .outcomes import Conflict, StoreUnavailable
@@ -83,7 +84,7 @@
                 follow_redirects=False,
             )
             try:
-                response = await self._client.fetch(request, raise_error=False)
+                response = await self._answer(request)
             except (HTTPError, OSError, ValueError) as error:
                 failures.append(f"{url}: {error}")
                 continue
@@ -92,3 +93,10 @@
                 return response
             failures.append(f"{url}: HTTP {response.code}")
         return StoreUnavailable("; ".join(failures) or "no store URL")
+
+    async def _answer(self, request: HTTPRequest) -> HTTPResponse:
+        # A cancelled watch leaves the request to end by itself: tornado logs an error
+        # with a traceback for the failure of a request whose future was cancelled.
+        future = self._client.fetch(request, raise_error=False)
+        future.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await asyncio.shield(future)
