--- a/testbed/caller.py
+++ b/testbed/caller.py
@@ -385,6 +385,8 @@
     def start(self, body: dict) -> dict:
         """Start the sessions of a ``Work`` given as JSON."""
         work = Work(**body)
+        if not self._tasks:
+            self.stopping = False
         task = asyncio.create_task(self._open_all(work))
         self._keep(task)
         return {"started": work.flows}
@@ -405,6 +407,12 @@
             "progress": dict(self.progress),
         }
 
+    def reset(self, _body=None) -> dict:
+        """Forget the record; sessions should have ended before."""
+        self.caller.record = CallerRecord()
+        self.progress.clear()
+        return self.status()
+
     def next_number(self) -> str:
         """A quote or confirmation number that no other request has."""
         self._number += 1
@@ -456,6 +464,11 @@
             payload = f"{self.next_number()};handle=12;crates=1".encode()
             await flow.request_until_run(Code.POST, "quote", payload)
 
+    async def quotes(self, flow: Flow, step: int) -> None:
+        """A joiner who sends only quotes, so that a fault meets many of them."""
+        payload = f"{self.next_number()};handle=12;crates=1".encode()
+        await flow.request_until_run(Code.POST, "quote", payload)
+
     async def sheet(self, flow: Flow, step: int) -> None:
         """A fitter: one whole drawing."""
         await flow.get_body(f"sheet/{self.caller.random.randrange(200)}")
@@ -482,6 +495,7 @@
         [
             route("/work", write=sessions.start),
             route("/stop", sessions.status, sessions.stop),
+            route("/reset", write=sessions.reset),
             route("/status", sessions.status),
             route("/record", lambda: asdict(caller.record)),
         ],
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -255,6 +255,18 @@
         url = f"{self.balancers[host_id].admin_url}/status"
         return self._wait_answer(host_id, url)
 
+    def wait_revision(self, revision: int, timeout_s: float = 15.0) -> None:
+        """Wait until every balancer runs at least this configuration revision."""
+        for host_id in self.balancers:
+            wait_until(
+                lambda host_id=host_id: self.revision(host_id) >= revision,
+                timeout_s,
+                f"{host_id} to run revision {revision}",
+            )
+
+    def revision(self, host_id: str) -> int:
+        return (self.status(host_id) or {}).get("revision", 0)
+
     def status(self, host_id: str) -> dict | None:
         return http_or_none(f"{self.balancers[host_id].admin_url}/status")
 
@@ -375,6 +387,20 @@
             return False
         return True
 
+    def progress(self, prefix: str) -> int:
+        """How many sessions are open (``open:``) or steps are done (``steps:``)."""
+        return sum(
+            count
+            for status in self.caller_statuses()
+            for name, count in status["progress"].items()
+            if name.startswith(prefix)
+        )
+
+    def reset_records(self) -> None:
+        """Start new records at callers and upstreams; no session may be running."""
+        for url in (*self.caller_urls, *self.upstream_urls.values()):
+            http(f"{url}/reset", {})
+
     def busy_s(self) -> dict[str, float]:
         """Busy-slot time of every upstream so far."""
         return self._merged("/busy")
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -68,6 +68,7 @@
     def start(self) -> None:
         self.cluster.start()
         self.cluster.submit(self.cluster.deployment)
+        self.cluster.wait_revision(1)
         say(
             "cluster_ready",
             balancers=len(self.cluster.balancers),
@@ -92,34 +93,22 @@
             total += flows
         return total
 
-    def opened(self) -> int:
-        return sum(
-            count
-            for status in self.cluster.caller_statuses()
-            for name, count in status["progress"].items()
-            if name.startswith("open:")
-        )
-
-    def steps(self) -> int:
-        return sum(
-            count
-            for status in self.cluster.caller_statuses()
-            for name, count in status["progress"].items()
-            if name.startswith("steps:")
-        )
-
     def open_flows(self) -> None:
         self.total = self.start_work(WORK, OPEN_PER_S)
         wait_until(
-            lambda: self.opened() >= self.total, OPEN_TIMEOUT_S, "every flow to open"
+            lambda: self.cluster.progress("open:") >= self.total,
+            OPEN_TIMEOUT_S,
+            "every flow to open",
         )
         say("flows_open", flows=self.total, **self.elapsed())
 
     def wait_steps(self, per_flow: float) -> None:
         """Wait until the sessions have made so many steps more on average."""
-        target = self.steps() + per_flow * self.total
+        target = self.cluster.progress("steps:") + per_flow * self.total
         wait_until(
-            lambda: self.steps() >= target, SETTLE_TIMEOUT_S, "the sessions to go on"
+            lambda: self.cluster.progress("steps:") >= target,
+            SETTLE_TIMEOUT_S,
+            "the sessions to go on",
         )
 
     def measure_balance(self) -> None:
@@ -148,7 +137,9 @@
 
     def finish(self) -> None:
         wait_until(
-            lambda: self.opened() >= self.total, OPEN_TIMEOUT_S, "the late flows"
+            lambda: self.cluster.progress("open:") >= self.total,
+            OPEN_TIMEOUT_S,
+            "the late flows",
         )
         self.wait_steps(0.5)
         if not self.cluster.stop_work(FINISH_TIMEOUT_S):
