--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -10,6 +10,7 @@
 
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -265,7 +266,8 @@
             )
 
     def revision(self, host_id: str) -> int:
-        return (self.status(host_id) or {}).get("revision", 0)
+        answer = http_or_none(f"{self.balancers[host_id].admin_url}/revision")
+        return (answer or {}).get("revision", 0)
 
     def status(self, host_id: str) -> dict | None:
         return http_or_none(f"{self.balancers[host_id].admin_url}/status")
@@ -337,18 +339,25 @@
 
     # Configuration, faults, work and records.
 
-    def submit(self, deployment: Deployment) -> str:
-        """Submit the operators' text with the command line; returns its output."""
+    def submit(self, deployment: Deployment, wait_s: float = 30.0) -> int:
+        """Submit the operators' text with the command line; returns the revision.
+
+        With ``wait_s`` 0 it returns once the store has accepted the text.
+        """
         self.deployment = deployment
         path = self.directory / "services.json"
         path.write_text(deployment.text())
-        arguments = ("submit", str(path), "--store", self.store_url)
-        process = self.processes.start("submit", "wisteriatiller.cli", *arguments)
-        code = process.wait(STOP_TIMEOUT_S)
+        process = self.processes.start(
+            "submit",
+            "wisteriatiller.cli",
+            *("submit", str(path), "--store", self.store_url, "--wait", str(wait_s)),
+        )
+        code = process.wait(wait_s + STOP_TIMEOUT_S)
         del self.processes.processes["submit"]
-        if code != 0:
+        accepted = re.findall(r"revision (\d+) accepted", self.log("submit"))
+        if code != 0 or not accepted:
             raise ClusterError(f"submit exited with {code}:\n{self.log('submit')}")
-        return self.log("submit")
+        return int(accepted[-1])
 
     def log(self, name: str) -> str:
         return self.processes.log(name)
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -67,8 +67,7 @@
 
     def start(self) -> None:
         self.cluster.start()
-        self.cluster.submit(self.cluster.deployment)
-        self.cluster.wait_revision(1)
+        self.cluster.wait_revision(self.cluster.submit(self.cluster.deployment))
         say(
             "cluster_ready",
             balancers=len(self.cluster.balancers),
@@ -124,7 +123,8 @@
 
     def drain(self) -> None:
         self.total += self.start_work(LATE_WORK, LATE_OPEN_PER_S)
-        self.cluster.submit(self.cluster.deployment.drained(DRAINED_UPSTREAM))
+        drained = self.cluster.deployment.drained(DRAINED_UPSTREAM)
+        self.cluster.submit(drained, wait_s=0)
         self.drained_s = time.monotonic()
         say("drain_submitted", upstream=DRAINED_UPSTREAM, **self.elapsed())
 
