--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -199,7 +199,7 @@
 
     def pump(self) -> None:
         """Dispatch queued requests while slots are free."""
-        while self._queue and not self._paused and self._has_free_slot():
+        while self._queue and self._may_dispatch() and self._has_free_slot():
             request = self._queue.pop()
             if self._now_s() > self.admission.latest_dispatch_s(request):
                 self._refuse(request, Reason.DEADLINE)
@@ -207,6 +207,19 @@
                 self._dispatch(request)
         self._arm_expiry()
 
+    def _may_dispatch(self) -> bool:
+        """Whether the lease is held and the upstream's clock is known.
+
+        Without the clock, a new owner's request could not carry a deadline that
+        fences it, so requests wait for the first probe answer.
+        """
+        now_s = self._now_s()
+        return (
+            not self._paused
+            and self._gate.lease_remaining_s() > 0
+            and self.health.upstream_clock_ms(now_s) is not None
+        )
+
     def close(self) -> None:
         """End all timers; nothing is answered or dispatched any more."""
         self._paused = True
@@ -353,10 +366,6 @@
                 self._finish_refused(request, Refused(Reason.NO_LEASE))
                 return
             deadline_s = min(deadline_s, now_s + lease_s)
-            if self.health.upstream_clock_ms(deadline_s) is None:
-                # Without the upstream's clock a delayed send could not be fenced.
-                self._finish_refused(request, Refused(Reason.UPSTREAM_UNREACHABLE))
-                return
             check_invariant(
                 request.dispatches == 0,
                 "non_idempotent_dispatched_once",
--- a/src/wisteriatiller/flowmessages.py
+++ b/src/wisteriatiller/flowmessages.py
@@ -8,8 +8,9 @@
     """A caller's datagram on its way to the owner of an upstream.
 
     ``ingress`` is the host that took the datagram from the fabric. ``pinned`` says
-    that the ingress knows the flow to be open on the upstream. ``age_ms`` is the time
-    spent waiting for an owner so far.
+    that the sender knows the flow to be open on the upstream, so that an owner without
+    a record opens it there. ``declined_by`` is an upstream, or empty, whose owner has
+    no record of the flow. ``age_ms`` is the time spent waiting for an owner so far.
     """
 
     flow_key: bytes
@@ -17,6 +18,7 @@
     revision: int
     ingress: str
     pinned: bool
+    declined_by: str
     hops: int
     age_ms: int
     payload: bytes
--- a/src/wisteriatiller/flows.py
+++ b/src/wisteriatiller/flows.py
@@ -12,6 +12,7 @@
 
     OPEN = "open"
     ELSEWHERE = "elsewhere"
+    RELEASED = "released"
     LOST = "lost"
 
 
@@ -19,8 +20,9 @@
 class FlowRecord:
     """One flow.
 
-    ``OPEN``: on an upstream of this shard. ``ELSEWHERE``: placed on, or released to,
-    an upstream of another shard. ``LOST``: its upstream died, and the flow is placed
+    ``OPEN``: on an upstream of this shard. ``ELSEWHERE``: open on an upstream of
+    another shard. ``RELEASED``: the owner of its new home claimed it, and it is never
+    opened here. ``LOST``: its upstream died, and the flow is placed
     anew only after the caller has been told. Until ``uncertain_until_s``, a request of
     the flow may have run under an owner whose records this host does not have.
     ``replaced`` marks a flow that was open in this shard before: repeats of its
--- a/src/wisteriatiller/flowservice.py
+++ b/src/wisteriatiller/flowservice.py
@@ -40,11 +40,12 @@
         record = owned.flows.get(flow_key)
         if record is None:
             now_s = self._environment.clock.now_s()
-            released = FlowRecord(
-                FlowState.ELSEWHERE, UpstreamId(claim.new_home), now_s
-            )
+            released = FlowRecord(FlowState.RELEASED, UpstreamId(claim.new_home), now_s)
             owned.flows.put(flow_key, released)
             return ClaimAnswer(True, "")
+        if record.state is FlowState.RELEASED:
+            record.upstream_id = UpstreamId(claim.new_home)
+            return ClaimAnswer(True, "")
         if record.upstream_id == claim.new_home:
             return ClaimAnswer(True, "")
         return ClaimAnswer(True, record.upstream_id)
--- /dev/null
+++ b/src/wisteriatiller/grantors.py
@@ -0,0 +1,144 @@
+"""The grantor: a host's part in granting the leases of its zone."""
+
+from dataclasses import dataclass, field
+
+from .environment import Environment
+from .exceptions import check_invariant
+from .grantorviews import DRIFT_MARGIN_S, LEASE_S, GrantorViews
+from .ids import HostId
+from .leasemessages import LeaseRelease, LeaseReleased, LeaseReply, LeaseRequest
+
+
+@dataclass(slots=True)
+class Grant:
+    """What a grantor remembers of one ownership shard.
+
+    ``highest_epoch`` is the highest epoch granted. ``held_epoch`` is the highest one
+    that its holder was granted by a majority; a candidate that failed leaves only
+    the former behind.
+    """
+
+    holder: HostId = HostId("")
+    epoch: int = 0
+    expires_s: float = 0.0
+    highest_epoch: int = 0
+    held_epoch: int = 0
+    held_by: HostId = HostId("")
+    released: dict[HostId, int] = field(default_factory=dict)
+
+
+class LeaseGrantor:
+    """Answers lease requests, also those of this host itself."""
+
+    def __init__(self, environment: Environment, views: GrantorViews):
+        self._environment = environment
+        self._views = views
+        self._zone = environment.settings.zone
+        self._grants: dict[int, Grant] = {}
+        environment.peers.register(LeaseRequest, self._handle_request)
+        environment.peers.register(LeaseRelease, self._handle_release)
+
+    @property
+    def is_abstaining(self) -> bool:
+        """Whether a grant from before a restart of this process may still run."""
+        uptime_s = self._now_s() - self._views.started_s
+        return uptime_s < LEASE_S + DRIFT_MARGIN_S or not self._views.confident
+
+    def _handle_request(
+        self, sender: HostId, request: LeaseRequest
+    ) -> LeaseReply | None:
+        if request.zone != self._zone:
+            return None
+        view = self._views.view
+        is_current = view is not None and (view.revision, view.fingerprint) == (
+            request.revision,
+            request.fingerprint,
+        )
+        if view is None or view.revision < request.revision:
+            self._views.learn_from(sender)
+        answers = tuple(
+            self._answer(sender, index, epoch, held, is_current)
+            for index, epoch, held in request.requests
+        )
+        is_newer = view is not None and view.revision > request.revision
+        return LeaseReply(
+            int(self._views.remembers_s * 1000) if is_current else 0,
+            is_current and self._views.is_founder,
+            view.record if is_newer else b"",
+            answers,
+        )
+
+    def _answer(self, holder: HostId, index: int, epoch: int, held: bool, is_current):
+        grant = self._grants.get(index)
+        if grant is None:
+            grant = self._grants[index] = Grant()
+        before = (grant.highest_epoch, grant.held_epoch, grant.held_by)
+        granted = False
+        if is_current and self.is_abstaining:
+            # Epochs that this grantor forgot come back with the renewals.
+            if held and epoch > grant.held_epoch:
+                self._note_held(grant, holder, epoch)
+        elif is_current and self._may_grant(grant, holder, epoch, held):
+            granted = True
+            self._give(grant, holder, epoch)
+            if held:
+                self._note_held(grant, holder, epoch)
+        return (index, granted, *before)
+
+    def _may_grant(self, grant: Grant, holder: HostId, epoch: int, held: bool) -> bool:
+        if grant.holder != holder and self._now_s() < grant.expires_s:
+            return False
+        if epoch <= grant.released.get(holder, 0):
+            # A renewal that was delayed until after the release.
+            return False
+        if not held:
+            return epoch > grant.highest_epoch
+        # A renewal of the last holder is taken although a candidate that failed left
+        # a higher epoch behind; no other host can have held the lease since.
+        if epoch == grant.held_epoch:
+            return grant.held_by == holder
+        return epoch > grant.held_epoch
+
+    def _give(self, grant: Grant, holder: HostId, epoch: int) -> None:
+        now_s = self._now_s()
+        check_invariant(
+            grant.holder == holder or now_s >= grant.expires_s,
+            "one_unexpired_grant",
+            zone=self._zone,
+            holder=grant.holder,
+            candidate=holder,
+        )
+        grant.holder = holder
+        grant.epoch = epoch
+        grant.expires_s = now_s + LEASE_S
+        grant.highest_epoch = max(grant.highest_epoch, epoch)
+
+    def _note_held(self, grant: Grant, holder: HostId, epoch: int) -> None:
+        check_invariant(
+            epoch > grant.held_epoch
+            or (epoch == grant.held_epoch and grant.held_by == holder),
+            "held_epoch_rises",
+            zone=self._zone,
+            epoch=epoch,
+            held_epoch=grant.held_epoch,
+        )
+        grant.held_epoch = epoch
+        grant.held_by = holder
+        grant.highest_epoch = max(grant.highest_epoch, epoch)
+
+    def _handle_release(
+        self, sender: HostId, release: LeaseRelease
+    ) -> LeaseReleased | None:
+        if release.zone != self._zone:
+            return None
+        for index, epoch in release.releases:
+            grant = self._grants.get(index)
+            if grant is None:
+                grant = self._grants[index] = Grant()
+            grant.released[sender] = max(epoch, grant.released.get(sender, 0))
+            if grant.holder == sender and grant.epoch <= epoch:
+                grant.expires_s = 0.0
+        return LeaseReleased()
+
+    def _now_s(self) -> float:
+        return self._environment.clock.now_s()
--- /dev/null
+++ b/src/wisteriatiller/grantorviews.py
@@ -0,0 +1,406 @@
+"""The view of grantors: which hosts of a zone grant its leases.
+
+The view is the store key ``grantors/<zone>`` and changes by compare-and-swap. A view
+with ``former`` members is in transition: a lease then takes a majority of both sets.
+The transition ends when a majority of the former members has refused the former view
+for a lease duration, since every lease granted under it alone has then run out.
+"""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from functools import cached_property
+
+from xxhash import xxh64_intdigest
+
+from .environment import Environment
+from .exceptions import check_invariant
+from .ids import HostId, ZoneId
+from .leasemessages import (
+    AskIncarnation,
+    AskView,
+    Incarnation,
+    ViewAdopted,
+    ViewAnswer,
+    ViewUpdate,
+)
+from .membership import Membership
+from .outcomes import StoreUnavailable
+from .placement import rank_hosts
+from .ports import StoreEntry, StoreMissing
+from .tasks import spawn
+
+LEASE_S = 3.0
+# Clocks of two hosts may differ in rate by this much over one lease.
+DRIFT_MARGIN_S = 0.3
+MAX_GRANTORS = 5
+HOSTS_KEY = "platform/hosts"
+# Two hosts of a zone keep the view up to date, which is 2 store reads a second for
+# a zone. A host that does not know the view yet asks more often.
+MAINTAINERS = 2
+MAINTAIN_INTERVAL_S = 2.0
+LEARN_INTERVAL_S = 0.3
+# At the first start of a zone, hosts come up at different times; with fewer members
+# than the list names, the first view would have to be changed at once.
+FOUNDING_WAIT_S = 5.0
+CALL_TIMEOUT_S = 0.4
+PEERS_ASKED = 3
+
+
+@dataclass(frozen=True)
+class GrantorView:
+    """The grantors of a zone at one revision.
+
+    ``founders`` are the process numbers of the members when the first view was
+    written; later views have none.
+    """
+
+    revision: int
+    members: tuple[HostId, ...]
+    former: tuple[HostId, ...] = ()
+    founders: dict[HostId, int] = field(default_factory=dict)
+
+    @cached_property
+    def record(self) -> bytes:
+        value = {
+            "revision": self.revision,
+            "members": list(self.members),
+            "former": list(self.former),
+            "founders": self.founders,
+        }
+        return json.dumps(value, sort_keys=True).encode()
+
+    @cached_property
+    def fingerprint(self) -> int:
+        """Tells apart two views of one revision, as a store set back may cause."""
+        return xxh64_intdigest(self.record)
+
+    @property
+    def everyone(self) -> tuple[HostId, ...]:
+        return tuple(dict.fromkeys(self.members + self.former))
+
+    def has_majority(self, host_ids) -> bool:
+        """Whether the hosts are a majority of the members, and of the former ones."""
+        return all(
+            is_majority(host_ids, group) for group in (self.members, self.former)
+        )
+
+
+def is_majority(host_ids, group) -> bool:
+    """Whether the hosts are a majority of a group; an empty group has one."""
+    return not group or len(set(host_ids) & set(group)) > len(group) // 2
+
+
+def read_view(record: bytes) -> GrantorView | None:
+    """Read a record; None if it is not a valid one."""
+    try:
+        value = json.loads(record)
+        view = GrantorView(
+            int(value["revision"]),
+            tuple(map(HostId, value["members"])),
+            tuple(map(HostId, value["former"])),
+            dict(value.get("founders", {})),
+        )
+    except (ValueError, TypeError, KeyError):
+        return None
+    return view if view.members else None
+
+
+@dataclass(frozen=True, slots=True)
+class ListedHost:
+    """A host of the platform's list."""
+
+    host_id: HostId
+    zone: ZoneId
+    leaving: bool
+
+
+def read_hosts(value: bytes) -> list[ListedHost]:
+    """Read the platform's list, leaving out entries that are not valid."""
+    try:
+        entries = json.loads(value)
+    except ValueError:
+        return []
+    return [
+        ListedHost(
+            HostId(entry["host_id"]),
+            ZoneId(entry["zone"]),
+            entry.get("state") == "leaving",
+        )
+        for entry in entries
+        if isinstance(entry, dict) and "host_id" in entry and "zone" in entry
+    ]
+
+
+class GrantorViews:
+    """The view of this host's zone, and its upkeep."""
+
+    def __init__(self, environment: Environment, membership: Membership):
+        settings = environment.settings
+        self.view: GrantorView | None = None
+        self.incarnation = environment.random.getrandbits(62) + 1
+        self.started_s = environment.clock.now_s()
+        self._environment = environment
+        self._membership = membership
+        self._host_id = settings.host_id
+        self._key = f"grantors/{settings.zone}"
+        self._zone = settings.zone
+        self._confident = False
+        self._adopted_s = 0.0
+        self._settled_s = self.started_s
+        self._unlisted_since_s: dict[HostId, float] = {}
+        membership.subscribe(self._key, self._gossiped)
+        peers = environment.peers
+        peers.register(ViewUpdate, self._handle_update)
+        peers.register(AskIncarnation, self._handle_incarnation)
+        peers.register(AskView, self._handle_ask)
+
+    @property
+    def confident(self) -> bool:
+        """Whether this host knows that it did not forget a newer view by a restart.
+
+        A grantor that forgot would accept the former view again, and a majority of
+        such grantors would grant leases beside those of the present view.
+        """
+        return self._confident and self.view is not None
+
+    @property
+    def remembers_s(self) -> float:
+        """How long grants under the view in force are remembered without a gap."""
+        return self._now_s() - max(self.started_s, self._settled_s)
+
+    @property
+    def is_founder(self) -> bool:
+        """Whether this process remembers every grant ever made in the zone."""
+        return (
+            self.view is not None
+            and self.view.founders.get(self._host_id) == self.incarnation
+        )
+
+    def adopt(self, view: GrantorView | None) -> None:
+        """Put a view in force if it is newer than the present one."""
+        if view is None or (
+            self.view is not None and view.revision <= self.view.revision
+        ):
+            return
+        check_invariant(
+            self.view is None or view.revision > self.view.revision,
+            "view_revision_rises",
+            zone=self._zone,
+        )
+        self.view = view
+        self._adopted_s = self._now_s()
+        if not view.former:
+            self._settled_s = self._adopted_s
+        self._membership.publish(self._key, view.revision, view.record.decode())
+
+    def learn_from(self, host_id: HostId) -> None:
+        """Take over the view of a host that named a newer one."""
+        spawn(self._ask(host_id), "ask for the view of grantors")
+
+    async def run(self) -> None:
+        """Learn the view, and keep it up to date if this host is to do so."""
+        while True:
+            if not self.confident:
+                await self._learn()
+            if self._is_maintainer():
+                await self._maintain()
+            interval_s = MAINTAIN_INTERVAL_S if self.confident else LEARN_INTERVAL_S
+            await asyncio.sleep(interval_s * self._environment.random.uniform(0.5, 1))
+
+    def _gossiped(self, key: str, version: int, value: object) -> None:
+        if key == self._key and isinstance(value, str):
+            self.adopt(read_view(value.encode()))
+
+    def _handle_update(self, sender: HostId, update: ViewUpdate) -> ViewAdopted:
+        self.adopt(read_view(update.view))
+        if self.view is None:
+            return ViewAdopted(0, 0)
+        adopted_ms = int((self._now_s() - self._adopted_s) * 1000)
+        return ViewAdopted(self.view.revision, adopted_ms)
+
+    def _handle_incarnation(self, sender: HostId, ask: AskIncarnation) -> Incarnation:
+        return Incarnation(self.incarnation)
+
+    def _handle_ask(self, sender: HostId, ask: AskView) -> ViewAnswer:
+        return ViewAnswer(self.confident, self.view.record if self.view else b"")
+
+    # Learning
+
+    async def _learn(self) -> None:
+        entry = await self._environment.store.get(self._key)
+        if isinstance(entry, StoreEntry):
+            self.adopt(read_view(entry.value))
+        others = [
+            host_id
+            for host_id in self._membership.live_hosts(self._zone)
+            if host_id != self._host_id
+        ]
+        count = min(PEERS_ASKED, len(others))
+        await self._ask_all(self._environment.random.sample(others, count))
+        if not isinstance(entry, StoreUnavailable):
+            self._confident = True
+        elif self.view is not None:
+            self._confident = await self._members_confirm(self.view)
+
+    async def _members_confirm(self, view: GrantorView) -> bool:
+        """Whether a majority of the members, without this host, has no newer view.
+
+        No transition to a newer view can have ended then, since it takes a majority
+        that refuses this one.
+        """
+        others = [host_id for host_id in view.members if host_id != self._host_id]
+        answers = await self._ask_all(others)
+        agreeing = [
+            host_id
+            for host_id, answer in answers.items()
+            if answer.confident and answer.view == view.record
+        ]
+        return is_majority(agreeing, view.members) and view is self.view
+
+    async def _ask_all(self, host_ids) -> dict[HostId, ViewAnswer]:
+        answers = await asyncio.gather(*map(self._ask, host_ids))
+        return {
+            host_id: answer
+            for host_id, answer in zip(host_ids, answers, strict=True)
+            if answer is not None
+        }
+
+    async def _ask(self, host_id: HostId) -> ViewAnswer | None:
+        answer = await self._environment.peers.call(host_id, AskView(), CALL_TIMEOUT_S)
+        if not isinstance(answer, ViewAnswer):
+            return None
+        if answer.view:
+            self.adopt(read_view(answer.view))
+        return answer
+
+    # Upkeep
+
+    def _is_maintainer(self) -> bool:
+        live = self._membership.live_hosts(self._zone)
+        return self._host_id in rank_hosts(self._key, live)[:MAINTAINERS]
+
+    async def _maintain(self) -> None:
+        store = self._environment.store
+        listed = await store.get(HOSTS_KEY)
+        entry = await store.get(self._key)
+        if isinstance(listed, StoreUnavailable) or isinstance(entry, StoreUnavailable):
+            return
+        hosts = self._hosts_of_zone(listed)
+        self._note_unlisted(hosts)
+        index = 0
+        stored = None
+        if isinstance(entry, StoreEntry):
+            index = entry.index
+            stored = read_view(entry.value)
+            self.adopt(stored)
+        if self.view is None:
+            await self._found(hosts, index)
+        elif stored is None or stored.revision < self.view.revision:
+            # The store came back with older data; the view in force stays.
+            await store.compare_and_swap(self._key, self.view.record, index)
+        elif self.view.former:
+            await self._complete(self.view, index)
+        else:
+            await self._change(self.view, hosts, index)
+
+    def _hosts_of_zone(self, listed: StoreEntry | StoreMissing) -> list[ListedHost]:
+        if isinstance(listed, StoreEntry):
+            hosts = read_hosts(listed.value)
+        else:
+            live = self._membership.live_hosts(self._zone)
+            hosts = [ListedHost(host_id, self._zone, False) for host_id in live]
+        return [host for host in hosts if host.zone == self._zone]
+
+    def _note_unlisted(self, hosts: list[ListedHost]) -> None:
+        named = {host.host_id for host in hosts}
+        known = self.view.everyone if self.view else ()
+        now_s = self._now_s()
+        self._unlisted_since_s = {
+            host_id: self._unlisted_since_s.get(host_id, now_s)
+            for host_id in known
+            if host_id not in named
+        }
+
+    async def _found(self, hosts: list[ListedHost], index: int) -> None:
+        """Write the first view of the zone."""
+        staying = [host.host_id for host in hosts if not host.leaving]
+        ranked = rank_hosts(self._key, staying)
+        founders = {}
+        peers = self._environment.peers
+        answers = await asyncio.gather(
+            *(
+                peers.call(host_id, AskIncarnation(), CALL_TIMEOUT_S)
+                for host_id in ranked
+            )
+        )
+        for host_id, answer in zip(ranked, answers, strict=True):
+            if isinstance(answer, Incarnation) and len(founders) < MAX_GRANTORS:
+                founders[host_id] = answer.incarnation
+        waited_s = self._now_s() - self.started_s
+        if (
+            len(founders) < min(MAX_GRANTORS, len(ranked))
+            and waited_s < FOUNDING_WAIT_S
+        ):
+            return
+        if founders:
+            view = GrantorView(1, tuple(founders), (), founders)
+            await self._write(view, index)
+
+    async def _change(
+        self, view: GrantorView, hosts: list[ListedHost], index: int
+    ) -> None:
+        """Start a transition if a member has to go, or more can be had."""
+        staying = {host.host_id for host in hosts if not host.leaving}
+        kept = [host_id for host_id in view.members if host_id in staying]
+        live = set(self._membership.live_hosts(self._zone))
+        ranked = rank_hosts(self._key, staying & live)
+        added = [host_id for host_id in ranked if host_id not in kept]
+        members = tuple((kept + added)[:MAX_GRANTORS])
+        if members and set(members) != set(view.members):
+            next_view = GrantorView(view.revision + 1, members, view.members)
+            await self._write(next_view, index)
+
+    async def _complete(self, view: GrantorView, index: int) -> None:
+        """End the transition once the former view can grant no lease any more."""
+        peers = self._environment.peers
+        update = ViewUpdate(view.record)
+        answers = await asyncio.gather(
+            *(peers.call(host, update, CALL_TIMEOUT_S) for host in view.everyone)
+        )
+        adopted_s = {
+            host_id: answer.adopted_ms / 1000
+            for host_id, answer in zip(view.everyone, answers, strict=True)
+            if isinstance(answer, ViewAdopted) and answer.revision == view.revision
+        }
+        confirmed = [
+            host_id
+            for host_id in view.former
+            if adopted_s.get(host_id, 0) >= LEASE_S + DRIFT_MARGIN_S
+            or self._is_gone(host_id)
+        ]
+        if is_majority(confirmed, view.former) and is_majority(adopted_s, view.members):
+            await self._write(GrantorView(view.revision + 1, view.members), index)
+
+    def _is_gone(self, host_id: HostId) -> bool:
+        """Whether the platform took the host away, and it does not answer probes."""
+        since_s = self._unlisted_since_s.get(host_id)
+        return (
+            since_s is not None
+            and self._now_s() - since_s >= LEASE_S + DRIFT_MARGIN_S
+            and not self._membership.is_live(host_id)
+        )
+
+    async def _write(self, view: GrantorView, index: int) -> None:
+        # After a lost answer, the next round reads what is in the store.
+        outcome = await self._environment.store.compare_and_swap(
+            self._key, view.record, index
+        )
+        if not isinstance(outcome, StoreEntry):
+            return
+        self.adopt(view)
+        for host_id in view.everyone:
+            self._environment.peers.send(host_id, ViewUpdate(view.record))
+
+    def _now_s(self) -> float:
+        return self._environment.clock.now_s()
--- a/src/wisteriatiller/ingress.py
+++ b/src/wisteriatiller/ingress.py
@@ -69,12 +69,14 @@
         self._pins: dict[bytes, Pin] = {}
         self._remote_flows = RecentFlows(MAX_REMOTE_FLOWS)
         self._next_return = 0
+        self.last_datagram_s = environment.clock.now_s()
         source.subscribe(self._drop_pins_of_removed)
         owner.pin_flow = self.pin
         environment.peers.register(PinFlow, self._handle_pin)
 
     def receive(self, data: bytes, address: Address) -> None:
         """Take a datagram of the fabric."""
+        self.last_datagram_s = self._environment.clock.now_s()
         try:
             header, payload = proxyheader.split(data)
             pin = self._fresh_pin(header)
@@ -153,6 +155,7 @@
             configuration.revision,
             self._host_id,
             pin is not None,
+            "",
             0,
             0,
             payload,
--- a/src/wisteriatiller/lease.py
+++ b/src/wisteriatiller/lease.py
@@ -1,12 +1,46 @@
 """Leases of ownership shards."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import dataclass
 
-from .ids import ShardId
+from absl import logging
+
+from .environment import Environment
+from .exceptions import check_invariant
+from .grantorviews import (
+    DRIFT_MARGIN_S,
+    LEASE_S,
+    GrantorView,
+    GrantorViews,
+    read_view,
+)
+from .ids import HostId, ShardId
+from .leasemessages import LeaseRelease, LeaseReleased, LeaseReply, LeaseRequest
+from .membership import Membership
+from .ownership import Ownership, shard_key
+from .tasks import spawn
 
 LeaseListener = Callable[[ShardId, int], None]
 
+# A candidate gives up on an attempt after this long; a renewal leaves time for a
+# second and a third try within the lease.
+ROUND_TIMEOUT_S = 0.6
+RENEW_INTERVAL_S = 1.0
+RENEW_RETRY_S = 0.2
+CANDIDACY_INTERVAL_S = 0.2
+# After a failed attempt, a candidate waits for a random time that grows up to this
+# limit, so that two candidates do not take grants from each other for ever.
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 1.0
+# A host whose lease the grantors do not renew may still answer probes. Its shards
+# are sought all the same after this time, later by the second in rank.
+FALLBACK_S = 5.0
+MAX_FALLBACK_RANK = 2
+RELEASE_TIMEOUT_S = 0.5
+EPOCH_TRIES = 3
+
 
 class ShardLeases(ABC):
     """The leases that this host holds.
@@ -45,3 +79,440 @@
 
     async def release(self, shard):
         return None
+
+
+@dataclass(frozen=True, slots=True)
+class FormerHolder:
+    """Who held a lease before, as a majority of grantors remembers it.
+
+    The majority kept its records without a gap for ``remembered_s``, so no other
+    host held the lease in that time. ``never_held`` says that the zone's grantors
+    remember every lease since the first view, and this one was never held.
+    """
+
+    epoch: int
+    holder: HostId
+    remembered_s: float
+    never_held: bool
+
+
+@dataclass(slots=True)
+class _HeldLease:
+    epoch: int
+    expires_s: float
+    former: FormerHolder
+
+
+@dataclass(slots=True)
+class _Backoff:
+    """When a candidate tries next for a shard."""
+
+    delay_s: float = MIN_BACKOFF_S
+    next_s: float = 0.0
+
+
+class _Round:
+    """The answers to one batch of lease requests."""
+
+    def __init__(self, view: GrantorView, sent_s: float):
+        self.view = view
+        self.sent_s = sent_s
+        self.replies: dict[HostId, LeaseReply] = {}
+        self._answers: dict[int, dict[HostId, tuple]] = {}
+
+    def add(self, host_id: HostId, reply: LeaseReply) -> None:
+        self.replies[host_id] = reply
+        for index, *answer in reply.answers:
+            self._answers.setdefault(index, {})[host_id] = tuple(answer)
+
+    def granters(self, index: int) -> list[HostId]:
+        answers = self._answers.get(index, {})
+        return [host_id for host_id, answer in answers.items() if answer[0]]
+
+    def is_granted(self, index: int) -> bool:
+        return self.view.has_majority(self.granters(index))
+
+    def is_decided(self, index: int) -> bool:
+        """Whether further answers cannot change ``is_granted``."""
+        if self.is_granted(index):
+            return True
+        silent = [host for host in self.view.everyone if host not in self.replies]
+        return not self.view.has_majority(self.granters(index) + silent)
+
+    def highest_epoch(self, index: int) -> int:
+        answers = self._answers.get(index, {}).values()
+        return max((answer[1] for answer in answers), default=0)
+
+    def former(self, index: int) -> FormerHolder:
+        answers = self._answers[index]
+        epoch, holder = max(answer[2:4] for answer in answers.values())
+        # During a transition, only the former members know the leases before it.
+        witnesses = set(self.view.former or self.view.members)
+        replies = [
+            self.replies[host_id]
+            for host_id in self.granters(index)
+            if host_id in witnesses
+        ]
+        return FormerHolder(
+            epoch,
+            HostId(holder),
+            min(reply.remembers_ms for reply in replies) / 1000,
+            epoch == 0 and all(reply.founder for reply in replies),
+        )
+
+
+class MajorityLeases(ShardLeases):
+    """Leases granted by a majority of the zone's grantors.
+
+    The expiry counts from the time at which the request was sent, on this host's
+    clock, while the grantors count from the receipt. A stall of this host or of the
+    network can so only make the lease shorter here than at the grantors.
+    """
+
+    def __init__(
+        self,
+        environment: Environment,
+        membership: Membership,
+        ownership: Ownership,
+        views: GrantorViews,
+        shard_count: Callable[[], int],
+    ):
+        self.is_leaving = False
+        self._environment = environment
+        self._host_id = environment.settings.host_id
+        self._zone = environment.settings.zone
+        self._membership = membership
+        self._ownership = ownership
+        self._views = views
+        self._shard_count = shard_count
+        self._held: dict[ShardId, _HeldLease] = {}
+        self._highest: dict[ShardId, int] = {}
+        self._backoffs: dict[ShardId, _Backoff] = {}
+        self._fallback_at_s = environment.clock.now_s() + FALLBACK_S
+        self._fallbacks = 0
+        self._seeking: set[ShardId] = set()
+        self._releasing: set[ShardId] = set()
+
+    @property
+    def held(self) -> tuple[ShardId, ...]:
+        """The shards whose leases are held now."""
+        return tuple(shard for shard in self._held if self.remaining_s(shard) > 0)
+
+    def remaining_s(self, shard):
+        lease = self._held.get(shard)
+        if lease is None:
+            return 0.0
+        return max(0.0, lease.expires_s - self._now_s())
+
+    def epoch(self, shard):
+        return self._held[shard].epoch if self.remaining_s(shard) > 0 else 0
+
+    def former_holder(self, shard: ShardId) -> FormerHolder | None:
+        """Who held the lease before this host; None if this host does not hold it."""
+        lease = self._held.get(shard)
+        return lease.former if lease else None
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether this host is the only grantor of its zone, and so has no backup."""
+        view = self._views.view
+        return view is not None and view.everyone == (self._host_id,)
+
+    async def run(self) -> None:
+        """Renew the held leases and seek those that this host should have."""
+        await asyncio.gather(self._run_renewals(), self._run_candidacy())
+
+    async def release(self, shard):
+        lease = self._held.get(shard)
+        if lease is None:
+            return
+        self._releasing.add(shard)
+        self._drop(shard)
+        try:
+            await self._release_at_grantors([(shard, lease.epoch)])
+        finally:
+            self._releasing.discard(shard)
+
+    def drop_all(self) -> None:
+        """Stop holding every lease at once, without telling the grantors.
+
+        For a host that was frozen: its records may be out of date.
+        """
+        for shard in tuple(self._held):
+            self._drop(shard)
+
+    async def seek(self, shard: ShardId) -> bool:
+        """Try to acquire a lease now; True if it is held after that."""
+        if self.remaining_s(shard) <= 0:
+            await self._acquire([shard])
+        return self.remaining_s(shard) > 0
+
+    async def reaches_majority(self) -> bool:
+        """Whether a majority of the grantors answers this host now."""
+        outcome = await self._ask([])
+        return outcome is not None and outcome.view.has_majority(outcome.replies)
+
+    # Renewal
+
+    async def _run_renewals(self) -> None:
+        while True:
+            started_s = self._now_s()
+            delay_s = RENEW_INTERVAL_S
+            self._drop_expired()
+            if self._held and not await self._renew():
+                delay_s = RENEW_RETRY_S
+            passed_s = self._now_s() - started_s
+            await asyncio.sleep(min(delay_s, max(0.01, delay_s - passed_s)))
+
+    async def _renew(self) -> bool:
+        """Renew all held leases in one round; False if any was not renewed."""
+        epochs = {
+            shard: lease.epoch
+            for shard, lease in self._held.items()
+            if self.remaining_s(shard) > 0
+        }
+        requests = [(shard, epoch, True) for shard, epoch in epochs.items()]
+        outcome = await self._ask(requests)
+        self._drop_expired()
+        if outcome is None:
+            return False
+        is_complete = True
+        for shard, epoch in epochs.items():
+            lease = self._held.get(shard)
+            if lease is None or lease.epoch != epoch:
+                continue
+            if outcome.is_granted(shard.index):
+                self._extend(shard, lease, outcome)
+            else:
+                is_complete = False
+        return is_complete
+
+    def _extend(self, shard: ShardId, lease: _HeldLease, outcome: _Round) -> None:
+        lease.expires_s = max(lease.expires_s, _expiry_s(outcome))
+        self._ownership.publish_owner(shard, lease.epoch)
+
+    def _drop_expired(self) -> None:
+        for shard in tuple(self._held):
+            if self.remaining_s(shard) <= 0:
+                self._environment.metrics.count("leases.expired")
+                logging.warning("event=lease_expired shard=%s", shard)
+                self._drop(shard)
+
+    def _drop(self, shard: ShardId) -> None:
+        lease = self._held.pop(shard)
+        self.on_lost(shard, lease.epoch)
+
+    # Candidacy
+
+    async def _run_candidacy(self) -> None:
+        while True:
+            jitter = self._environment.random.uniform(0.5, 1.5)
+            await asyncio.sleep(CANDIDACY_INTERVAL_S * jitter)
+            self._drop_expired()
+            now_s = self._now_s()
+            fallback = self._due_fallback(now_s)
+            wanted = [
+                shard
+                for shard in self._unheld_shards()
+                if self._should_seek(shard, now_s, fallback)
+            ]
+            if wanted:
+                await self._acquire(wanted)
+
+    def _unheld_shards(self) -> list[ShardId]:
+        shards = (ShardId(self._zone, i) for i in range(self._shard_count()))
+        return [shard for shard in shards if shard not in self._held]
+
+    def _should_seek(self, shard: ShardId, now_s: float, fallback: int) -> bool:
+        if self.is_leaving or shard in self._releasing:
+            return False
+        backoff = self._backoffs.get(shard)
+        if backoff is not None and now_s < backoff.next_s:
+            return False
+        owner = self._known_owner(shard)
+        if owner == self._host_id:
+            return True
+        ranking = self._ownership.ranking(shard)[:MAX_FALLBACK_RANK]
+        if self._host_id not in ranking:
+            return False
+        rank = ranking.index(self._host_id)
+        if rank == 0 and (owner is None or not self._membership.is_live(owner)):
+            return True
+        return fallback > 0 and fallback % (rank + 1) == 0
+
+    def _due_fallback(self, now_s: float) -> int:
+        """The number of the fallback attempt that is due now; 0 if none is."""
+        if now_s < self._fallback_at_s:
+            return 0
+        spread = self._environment.random.uniform(1, 1.5)
+        self._fallback_at_s = now_s + FALLBACK_S * spread
+        self._fallbacks += 1
+        return self._fallbacks
+
+    def _known_owner(self, shard: ShardId) -> HostId | None:
+        known = self._membership.value(shard_key(shard))
+        return HostId(str(known[1])) if known else None
+
+    async def _acquire(self, shards: list[ShardId]) -> None:
+        """Try for the leases in two rounds.
+
+        The first takes grants for a new epoch. The second tells a majority that the
+        first succeeded, so that later holders learn of every epoch that was held,
+        also if this host dies at once.
+        """
+        started = [shard for shard in shards if shard not in self._seeking]
+        self._seeking.update(started)
+        try:
+            behind = started
+            for _ in range(EPOCH_TRIES):
+                behind = await self._try_acquire(behind) if behind else []
+            for shard in behind:
+                self._back_off(shard)
+        finally:
+            self._seeking.difference_update(started)
+
+    async def _try_acquire(self, shards: list[ShardId]) -> list[ShardId]:
+        """One attempt; returns the shards to try again at once with a higher epoch."""
+        epochs = {shard: self._next_epoch(shard) for shard in shards}
+        first = await self._ask([(shard, epochs[shard], False) for shard in shards])
+        if first is None:
+            self._fail(epochs, shards)
+            return []
+        won = [shard for shard in shards if first.is_granted(shard.index)]
+        behind = []
+        for shard in shards:
+            highest = first.highest_epoch(shard.index)
+            self._highest[shard] = max(highest, self._highest.get(shard, 0))
+            if shard not in won and highest >= epochs[shard]:
+                behind.append(shard)
+        second = await self._ask([(s, epochs[s], True) for s in won]) if won else None
+        now_s = self._now_s()
+        kept = [
+            shard
+            for shard in won
+            if second is not None
+            and second.is_granted(shard.index)
+            # With grants of the first round that ran out before the second was sent,
+            # another host may have held the lease in between.
+            and second.sent_s < _expiry_s(first)
+            and now_s < _expiry_s(second)
+            and shard not in self._releasing
+        ]
+        for shard in kept:
+            self._hold(shard, epochs[shard], first, second)
+        self._fail(epochs, [s for s in shards if s not in kept and s not in behind])
+        self._give_back([(shard, epochs[shard]) for shard in behind])
+        return behind
+
+    def _next_epoch(self, shard: ShardId) -> int:
+        known = self._membership.value(shard_key(shard))
+        return max(self._highest.get(shard, 0), known[0] if known else 0) + 1
+
+    def _hold(self, shard: ShardId, epoch: int, first: _Round, second: _Round) -> None:
+        check_invariant(shard not in self._held, "lease_held_once", shard=shard)
+        check_invariant(
+            epoch > first.former(shard.index).epoch,
+            "epoch_rises",
+            shard=shard,
+            epoch=epoch,
+        )
+        former = first.former(shard.index)
+        self._highest[shard] = max(epoch, self._highest.get(shard, 0))
+        self._held[shard] = _HeldLease(epoch, _expiry_s(second), former)
+        self._backoffs.pop(shard, None)
+        self._environment.metrics.count("leases.acquired")
+        logging.info("event=lease_acquired shard=%s epoch=%d", shard, epoch)
+        self._ownership.publish_owner(shard, epoch)
+        self.on_acquired(shard, epoch)
+
+    def _fail(self, epochs: dict[ShardId, int], shards: list[ShardId]) -> None:
+        self._give_back([(shard, epochs[shard]) for shard in shards])
+        for shard in shards:
+            self._highest[shard] = max(epochs[shard], self._highest.get(shard, 0))
+            self._back_off(shard)
+
+    def _back_off(self, shard: ShardId) -> None:
+        backoff = self._backoffs.setdefault(shard, _Backoff())
+        wait_s = self._environment.random.uniform(MIN_BACKOFF_S, backoff.delay_s * 2)
+        backoff.next_s = self._now_s() + wait_s
+        backoff.delay_s = min(MAX_BACKOFF_S, backoff.delay_s * 2)
+
+    def _give_back(self, releases: list[tuple[ShardId, int]]) -> None:
+        """Free the grants of a failed attempt for other candidates."""
+        if releases:
+            spawn(self._release_at_grantors(releases), "release grants")
+
+    async def _release_at_grantors(self, releases: list[tuple[ShardId, int]]) -> None:
+        view = self._views.view
+        if view is None:
+            return
+        message = LeaseRelease(
+            self._zone, tuple((shard.index, epoch) for shard, epoch in releases)
+        )
+        peers = self._environment.peers
+        pending = {
+            asyncio.ensure_future(peers.call(host_id, message, RELEASE_TIMEOUT_S)): (
+                host_id
+            )
+            for host_id in view.everyone
+        }
+        released = []
+        while pending and not view.has_majority(released):
+            done, _ = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                host_id = pending.pop(task)
+                if isinstance(task.result(), LeaseReleased):
+                    released.append(host_id)
+
+    # Rounds
+
+    async def _ask(self, requests: list[tuple[ShardId, int, bool]]) -> _Round | None:
+        """Send one message to each grantor; return once nothing more can change."""
+        view = self._views.view
+        if view is None:
+            return None
+        outcome = _Round(view, self._now_s())
+        message = LeaseRequest(
+            self._zone,
+            view.revision,
+            view.fingerprint,
+            tuple((shard.index, epoch, held) for shard, epoch, held in requests),
+        )
+        peers = self._environment.peers
+        pending = {
+            asyncio.ensure_future(peers.call(host_id, message, ROUND_TIMEOUT_S)): (
+                host_id
+            )
+            for host_id in view.everyone
+        }
+        indexes = [shard.index for shard, _, _ in requests]
+        try:
+            while pending and not self._is_over(outcome, indexes):
+                done, _ = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done:
+                    self._take_reply(outcome, pending.pop(task), task.result())
+        finally:
+            for task in pending:
+                task.cancel()
+        return outcome
+
+    def _is_over(self, outcome: _Round, indexes: list[int]) -> bool:
+        if not indexes:
+            return outcome.view.has_majority(outcome.replies)
+        return all(map(outcome.is_decided, indexes))
+
+    def _take_reply(self, outcome: _Round, host_id: HostId, reply) -> None:
+        if not isinstance(reply, LeaseReply):
+            return
+        outcome.add(host_id, reply)
+        if reply.view:
+            self._views.adopt(read_view(reply.view))
+
+    def _now_s(self) -> float:
+        return self._environment.clock.now_s()
+
+
+def _expiry_s(outcome: _Round) -> float:
+    return outcome.sent_s + LEASE_S - DRIFT_MARGIN_S
--- a/src/wisteriatiller/opening.py
+++ b/src/wisteriatiller/opening.py
@@ -102,12 +102,16 @@
         return isinstance(answer, OpenAnswer) and answer.opened
 
     def _earlier_homes(self, forward: Forward, service: Service) -> list[UpstreamId]:
+        """Earlier homes in other shards; one in this shard shares its flow table."""
         configuration = self._source.configuration
-        return earlier_homes(
+        upstreams = configuration.upstreams
+        homes = earlier_homes(
             FlowKey(forward.flow_key),
             configuration.tables[service.service_id],
             configuration.earlier_tables.get(service.service_id, ()),
         )
+        shard = configuration.shard_of(upstreams[UpstreamId(forward.upstream_id)])
+        return [h for h in homes if configuration.shard_of(upstreams[h]) != shard]
 
     async def _claim(
         self, forward: Forward, home: UpstreamId
--- a/src/wisteriatiller/owner.py
+++ b/src/wisteriatiller/owner.py
@@ -105,16 +105,31 @@
         if record.state is FlowState.LOST:
             self._use_lost(owned, forward, service, record)
             return
+        if record.state is FlowState.RELEASED:
+            self._use_released(owned, forward, record)
+            return
         record.last_seen_s = self._now_s()
         if record.state is FlowState.ELSEWHERE:
             if not (record.replaced and self._is_known_repeat(owned, forward)):
-                self._relay(replace(forward, upstream_id=record.upstream_id))
+                self._relay(forward, record.upstream_id, pinned=True)
             return
         home = self._homes.home(service.service_id, FlowKey(forward.flow_key))
         if service.mode is RequestMode.OPAQUE or record.upstream_id != home:
             self._pin(forward, record.upstream_id)
         self._serve(owned, forward, service, record)
 
+    def _use_released(self, owned, forward: Forward, record: FlowRecord) -> None:
+        """Pass a datagram on to the home that claimed the flow.
+
+        If the flow has ended there and its home is here again, it is a new flow.
+        """
+        if forward.declined_by == record.upstream_id:
+            owned.flows.remove(FlowKey(forward.flow_key))
+            self._route(forward)
+        else:
+            record.last_seen_s = self._now_s()
+            self._relay(forward, record.upstream_id, pinned=False)
+
     def _use_lost(
         self,
         owned: OwnedShard,
@@ -195,20 +210,28 @@
         upstream: Upstream,
     ) -> None:
         flow_key = FlowKey(forward.flow_key)
+        if flow_key in owned.opening:
+            owned.opening[flow_key].append(forward)
+            return
         if forward.pinned:
             owned.flows.put(flow_key, self._record(owned, upstream.upstream_id))
             self._route(forward)
             return
         home = self._homes.reachable_home(service.service_id, flow_key)
         if home is None:
-            self._refuse(forward, Refused(Reason.NO_UPSTREAM))
+            self._refuse_new(owned, forward, Reason.NO_UPSTREAM)
         elif home != upstream.upstream_id:
-            self._relay(replace(forward, upstream_id=home))
-        elif flow_key in owned.opening:
-            owned.opening[flow_key].append(forward)
+            self._relay(forward, home, pinned=False, declined_by=upstream.upstream_id)
         else:
             self._open_at_home(owned, forward, service)
 
+    def _refuse_new(self, owned: OwnedShard, forward: Forward, reason: Reason) -> None:
+        """Refuse a flow that is not known here; it may be while records are missing."""
+        if self._now_s() < owned.uncertain_until_s:
+            self._answer_unknown(forward, OutcomeUnknown(reason))
+        else:
+            self._refuse(forward, Refused(reason))
+
     def _open_at_home(self, owned, forward: Forward, service: Service) -> None:
         flow_key = FlowKey(forward.flow_key)
         if self._is_home(forward, service) and not self._opener.needs_peers(
@@ -314,7 +337,10 @@
         owned = self._shards.of_upstream(upstream.upstream_id)
         local = proxyheader.parse(header)
         if owned is not None and isinstance(local, proxyheader.LocalHeader):
-            self._shards.dispatcher(owned, upstream).health.handle_probe_answer(local)
+            dispatcher = self._shards.dispatcher(owned, upstream)
+            dispatcher.health.handle_probe_answer(local)
+            # Requests of a new owner wait for the upstream's clock.
+            dispatcher.pump()
 
     def _response(self, upstream: Upstream, header: bytes, payload: bytes) -> None:
         flow_key = proxyheader.reversed_key(proxyheader.flow_key(header))
@@ -330,16 +356,26 @@
 
     # Sending
 
-    def _relay(self, forward: Forward) -> None:
+    def _relay(
+        self,
+        forward: Forward,
+        upstream_id: UpstreamId,
+        pinned: bool,
+        declined_by: str = "",
+    ) -> None:
         """Route a datagram on to another upstream's owner, which may be this host."""
-        configuration = self._source.configuration
         if forward.hops >= MAX_HOPS:
             self._give_up(forward, Reason.NO_OWNER)
             return
-        forward = replace(
-            forward, hops=forward.hops + 1, revision=configuration.revision
+        relayed = replace(
+            forward,
+            upstream_id=upstream_id,
+            revision=self._source.configuration.revision,
+            pinned=pinned,
+            declined_by=declined_by,
+            hops=forward.hops + 1,
         )
-        self._route(forward)
+        self._route(relayed)
 
     def _pass_to_owner(self, forward: Forward, shard: ShardId) -> None:
         if not self._homes.is_reachable(UpstreamId(forward.upstream_id)):
--- a/src/wisteriatiller/process.py
+++ b/src/wisteriatiller/process.py
@@ -3,19 +3,17 @@
 import asyncio
 import signal
 
-from .configstore import ConfigFollower
+from .admin import AdminServer, revision_view
 from .datagrams import UdpPorts
 from .environment import Environment
 from .exceptions import InvariantBroken
-from .lease import StaticLeases
 from .logs import log_event
-from .membership import StaticMembership
 from .metrics import NullMetrics, StatsdMetrics
-from .opening import HomeChooser
-from .ownership import Ownership
 from .peers import TcpPeers
+from .report import host_report
 from .runtime import Host
 from .settings import HostSettings
+from .status import host_status
 from .store_consul import ConsulStore
 from .tasks import spawn, stop_process
 
@@ -24,64 +22,88 @@
 
 def run(settings: HostSettings) -> int:
     """Run a host until SIGTERM or SIGINT; return the exit status."""
-    return asyncio.run(_run(settings))
+    return asyncio.run(HostProcess(settings).run())
 
 
-async def _run(settings: HostSettings) -> int:
-    loop = asyncio.get_running_loop()
-    loop.set_exception_handler(_handle_loop_error)
-    host = build_host(settings)
-    stop_requested = asyncio.Event()
-    abandon_requested = asyncio.Event()
+class HostProcess:
+    """A host with the adapters for real sockets, the store and statsd."""
 
-    def handle_signal() -> None:
-        if stop_requested.is_set():
-            abandon_requested.set()
-        stop_requested.set()
+    def __init__(self, settings: HostSettings):
+        self._settings = settings
+        self._stop_requested = asyncio.Event()
+        self._abandon_requested = asyncio.Event()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, handle_signal)
-    await host.start()
-    log_event("host_ready", host=settings.host_id, zone=settings.zone)
-    await stop_requested.wait()
-    log_event("host_stopping", host=settings.host_id)
-    stopping = spawn(host.stop(), "stop")
-    abandoning = asyncio.create_task(abandon_requested.wait())
-    await asyncio.wait((stopping, abandoning), return_when=asyncio.FIRST_COMPLETED)
-    abandoning.cancel()
-    status = 0
-    if not stopping.done():
+    async def run(self) -> int:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_handle_loop_error)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._handle_signal)
+        peers, host = self._build()
+        await peers.start()
+        await host.start()
+        admin = self._start_admin(host)
+        log_event("host_ready", host=self._settings.host_id, zone=self._settings.zone)
+        await self._stop_requested.wait()
+        log_event("host_stopping", host=self._settings.host_id)
+        status = await self._stop(host)
+        await admin.stop()
+        await host.close()
+        await peers.close()
+        log_event("host_stopped", host=self._settings.host_id, status=status)
+        return status
+
+    def _build(self) -> tuple[TcpPeers, Host]:
+        settings = self._settings
+        if settings.statsd is None:
+            metrics = NullMetrics()
+        else:
+            prefix = f"wisteriatiller.{settings.host_id}"
+            metrics = StatsdMetrics(settings.statsd, prefix)
+            spawn(metrics.run(), "statsd")
+        peers = TcpPeers(settings, metrics)
+        environment = Environment(
+            settings=settings,
+            datagrams=UdpPorts(metrics),
+            peers=peers,
+            store=ConsulStore(settings.store_urls),
+            metrics=metrics,
+        )
+        host = Host(environment)
+        peers.address_of = host.membership.address_of
+        return peers, host
+
+    def _start_admin(self, host: Host) -> AdminServer:
+        environment = host.environment
+        admin = AdminServer(
+            self._settings.admin_listen,
+            {
+                "/status": lambda: host_status(host),
+                "/revision": lambda: revision_view(self._settings.host_id, host.source),
+                "/report": lambda: host_report(
+                    self._settings.host_id,
+                    host.source.configuration,
+                    environment.service_level,
+                ),
+            },
+        )
+        admin.start()
+        return admin
+
+    async def _stop(self, host: Host) -> int:
+        stopping = spawn(host.stop(), "stop")
+        abandoning = spawn(self._abandon_requested.wait(), "second signal")
+        await asyncio.wait((stopping, abandoning), return_when=asyncio.FIRST_COMPLETED)
+        abandoning.cancel()
+        if stopping.done():
+            return 0
         stopping.cancel()
         log_event("host_stop_abandoned", level="warning", **host.unfinished())
-        status = EXIT_ABANDONED
-    await host.close()
-    log_event("host_stopped", host=settings.host_id, status=status)
-    return status
-
+        return EXIT_ABANDONED
 
-def build_host(settings: HostSettings) -> Host:
-    """A host with the adapters for real sockets, store and statsd."""
-    metrics = NullMetrics()
-    if settings.statsd is not None:
-        metrics = StatsdMetrics(settings.statsd, f"wisteriatiller.{settings.host_id}")
-    peers = TcpPeers(settings, metrics)
-    environment = Environment(
-        settings=settings,
-        datagrams=UdpPorts(metrics),
-        peers=peers,
-        store=ConsulStore(settings.store_urls),
-        metrics=metrics,
-    )
-    membership = StaticMembership(settings)
-    peers.address_of = membership.address_of
-    ownership = Ownership(environment, membership)
-    return Host(
-        environment,
-        membership,
-        StaticLeases(ownership.is_first),
-        ConfigFollower(environment, membership),
-        HomeChooser(),
-    )
+    def _handle_signal(self) -> None:
+        if self._stop_requested.is_set():
+            self._abandon_requested.set()
+        self._stop_requested.set()
 
 
 def _handle_loop_error(loop: asyncio.AbstractEventLoop, context: dict) -> None:
--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -5,74 +5,117 @@
 
 from .balance import BoundedLoadChooser
 from .config import ConfigSource
+from .configstore import ConfigFollower
 from .environment import Environment
 from .flowservice import FlowService
+from .grantors import LeaseGrantor
+from .grantorviews import GrantorViews
 from .healing import ZoneHealing
 from .homes import Homes
 from .ids import Address, FlowKey, ShardId
 from .ingress import Ingress
-from .lease import ShardLeases
+from .lease import MajorityLeases
 from .loads import LoadBoard
-from .membership import Membership
+from .logs import log_event
 from .opening import FlowOpener, UpstreamChooser
 from .owner import Owner
 from .ownership import Ownership
 from .ports import DatagramPort
 from .pressure import DependencyPolicy
 from .shardtable import ShardTable
+from .swim import SwimMembership
 from .tasks import spawn
 from .upkeep import Upkeep
 
+JOIN_TIMEOUT_S = 5.0
+# The fabric's list of hosts lags, so a stopping host forwards until nothing came from
+# the fabric for this long.
+FABRIC_QUIET_S = 1.0
+STOP_POLL_S = 0.1
+
 
 class Host:
-    """One host: an ingress, and the owner of the shards that it leases."""
+    """One host: an ingress, and the owner of the shards that it leases.
+
+    ::
+
+        host = Host(environment)
+        await host.start()
+        ...
+        await host.stop()
+        await host.close()
+    """
 
     def __init__(
-        self,
-        environment: Environment,
-        membership: Membership,
-        leases: ShardLeases,
-        source: ConfigSource,
-        chooser: UpstreamChooser | None = None,
+        self, environment: Environment, chooser: UpstreamChooser | None = None
     ):
         self.environment = environment
-        self.membership = membership
-        self.leases = leases
-        self.source = source
-        self.ownership = Ownership(environment, membership)
-        self.shards = ShardTable(environment, source, leases, self._answer)
-        self.upkeep = Upkeep(environment, source, self.ownership, self.shards)
-        self.flow_service = FlowService(environment, source, self.shards)
-        homes = Homes(source, membership)
+        self.membership = SwimMembership(environment)
+        self.source: ConfigSource = ConfigFollower(environment, self.membership)
+        self.ownership = Ownership(environment, self.membership)
+        self._build_leases()
+        self.shards = ShardTable(environment, self.source, self.leases, self._answer)
+        self.upkeep = Upkeep(environment, self.source, self.ownership, self.shards)
+        self.flow_service = FlowService(environment, self.source, self.shards)
+        self.loads = LoadBoard(environment, self.source, self.ownership, self.shards)
+        self.shards.policy = DependencyPolicy(environment, self.source, self.loads)
+        self._build_data_path(
+            chooser or BoundedLoadChooser(environment, self.source, self.loads)
+        )
+        self._ports: list[DatagramPort] = []
+        self._tasks: list[asyncio.Task] = []
+
+    def _build_leases(self) -> None:
+        environment = self.environment
+        self.views = GrantorViews(environment, self.membership)
+        self.grantor = LeaseGrantor(environment, self.views)
+        self.leases = MajorityLeases(
+            environment,
+            self.membership,
+            self.ownership,
+            self.views,
+            lambda: self.source.configuration.shard_count,
+        )
+        self.leases.on_acquired = self._lease_acquired
+        self.leases.on_lost = self._lease_lost
+        self.membership.on_stall(self.leases.drop_all)
+
+    def _build_data_path(self, chooser: UpstreamChooser) -> None:
+        environment = self.environment
+        homes = Homes(self.source, self.membership)
         self.healing = ZoneHealing(
-            environment, membership, self.ownership, source, homes, self.shards
+            environment,
+            self.membership,
+            self.ownership,
+            self.source,
+            homes,
+            self.shards,
         )
-        self.loads = LoadBoard(environment, source, self.ownership, self.shards)
-        self.shards.policy = DependencyPolicy(environment, source, self.loads)
-        chooser = chooser or BoundedLoadChooser(environment, source, self.loads)
-        opener = FlowOpener(environment, self.ownership, source, homes, chooser)
+        opener = FlowOpener(environment, self.ownership, self.source, homes, chooser)
         self.owner = Owner(
             environment,
             self.ownership,
-            source,
+            self.source,
             self.shards,
             homes,
             opener,
             self._answer,
         )
-        self.ingress = Ingress(environment, source, homes, self.owner)
-        self._ports: list[DatagramPort] = []
-        self._tasks: list[asyncio.Task] = []
-        leases.on_acquired = self.lease_acquired
-        leases.on_lost = self._lease_lost
+        self.ingress = Ingress(environment, self.source, homes, self.owner)
 
     async def start(self) -> None:
-        """Open the data ports; the fabric's comes last, when all else is ready."""
+        """Join the other hosts, then open the data ports, the fabric's last."""
         settings = self.environment.settings
+        await self.membership.start()
+        if not await self.membership.wait_joined(JOIN_TIMEOUT_S):
+            log_event("join_timeout", level="warning", seeds=len(settings.seeds))
         self.shards.upstream_port = await self._open(
             settings.upstream_listen, self.owner.receive_from_upstream
         )
         self.ingress.upstream_port = self.shards.upstream_port
+        self._run(self.source.run(), "follow configuration")
+        self._run(self.views.run(), "grantor views")
+        self._run(self.leases.run(), "leases")
         self._run(self.upkeep.probe_upstreams(), "probe upstreams")
         self._run(self.upkeep.sweep(), "sweep")
         self._run(self.healing.run(), "zone healing")
@@ -81,24 +124,54 @@
             settings.fabric_listen, self.ingress.receive
         )
 
+    async def stop(self) -> None:
+        """Stop gracefully: hand over, and forward until the fabric is quiet."""
+        self.leases.is_leaving = True
+        await self.membership.leave()
+        await self._fabric_quiet()
+        await self.membership.stop()
+
     async def close(self) -> None:
         """Close every port and end every task without waiting for anything."""
+        self.membership.close()
         for task in self._tasks:
             task.cancel()
         for port in self._ports:
             port.close()
 
-    def lease_acquired(self, shard: ShardId, epoch: int) -> None:
-        """Start serving a shard whose lease this host now holds."""
-        self.shards.add(shard)
-        self.ownership.publish_owner(shard, epoch)
+    def unfinished(self) -> dict[str, int]:
+        """What a stop at this moment would abandon."""
+        dispatchers = [
+            dispatcher
+            for owned in self.shards
+            for dispatcher in owned.dispatchers.values()
+        ]
+        return {
+            "shards": len(list(self.shards)),
+            "in_flight": sum(dispatcher.in_flight for dispatcher in dispatchers),
+            "queued": sum(dispatcher.queued for dispatcher in dispatchers),
+            "flows": sum(len(owned.flows) for owned in self.shards),
+        }
 
-    def _answer(self, flow_key: FlowKey, payload: bytes) -> None:
-        self.ingress.answer(flow_key, payload)
+    async def _fabric_quiet(self) -> None:
+        clock = self.environment.clock
+        deadline_s = clock.now_s() + self.environment.settings.stop_timeout_s
+        while clock.now_s() < deadline_s:
+            if clock.now_s() - self.ingress.last_datagram_s > FABRIC_QUIET_S:
+                return
+            await asyncio.sleep(STOP_POLL_S)
+
+    def _lease_acquired(self, shard: ShardId, epoch: int) -> None:
+        owned = self.shards.add(shard)
+        self.upkeep.probe_shard(owned)
+        self.ownership.publish_owner(shard, epoch)
 
     def _lease_lost(self, shard: ShardId, epoch: int) -> None:
         self.shards.remove(shard)
 
+    def _answer(self, flow_key: FlowKey, payload: bytes) -> None:
+        self.ingress.answer(flow_key, payload)
+
     async def _open(self, address: Address, receive) -> DatagramPort:
         port = await self.environment.datagrams.open(address, receive)
         self._ports.append(port)
--- /dev/null
+++ b/src/wisteriatiller/status.py
@@ -0,0 +1,37 @@
+"""What a host tells of itself at ``/status``."""
+
+from .runtime import Host
+
+
+def host_status(host: Host) -> dict:
+    """The state of a host as JSON values."""
+    settings = host.environment.settings
+    configuration = host.source.configuration
+    return {
+        "host_id": settings.host_id,
+        "zone": settings.zone,
+        "state": "leaving" if host.leases.is_leaving else "live",
+        "revision": configuration.revision,
+        "members": [
+            {"host_id": m.host_id, "zone": m.zone, "state": m.state.value}
+            for m in host.membership.members()
+        ],
+        "unfinished": host.unfinished(),
+        "upstreams": _upstreams(host),
+        "counters": host.environment.metrics.counters(),
+    }
+
+
+def _upstreams(host: Host) -> dict[str, dict]:
+    """The upstreams whose requests this host dispatches now."""
+    return {
+        upstream_id: {
+            "service": dispatcher.service.service_id,
+            "open_flows": owned.flows.open_count(upstream_id),
+            "in_flight": dispatcher.in_flight,
+            "queued": dispatcher.queued,
+            "down": dispatcher.health.is_down,
+        }
+        for owned in host.shards
+        for upstream_id, dispatcher in owned.dispatchers.items()
+    }
--- a/src/wisteriatiller/upkeep.py
+++ b/src/wisteriatiller/upkeep.py
@@ -42,13 +42,16 @@
         """Probe every upstream of the owned shards until cancelled."""
         while True:
             for owned in self._shards:
-                for upstream in self._shards.upstreams_of(owned):
-                    dispatcher = self._shards.dispatcher(owned, upstream)
-                    self._shards.send(upstream, dispatcher.health.probe())
-                    if dispatcher.health.silence_s > LOST_AFTER_S:
-                        self._lose_flows(owned, upstream.upstream_id)
+                self.probe_shard(owned)
             await asyncio.sleep(PROBE_INTERVAL_S)
 
+    def probe_shard(self, owned: OwnedShard) -> None:
+        for upstream in self._shards.upstreams_of(owned):
+            dispatcher = self._shards.dispatcher(owned, upstream)
+            self._shards.send(upstream, dispatcher.health.probe())
+            if dispatcher.health.silence_s > LOST_AFTER_S:
+                self._lose_flows(owned, upstream.upstream_id)
+
     def _health_changed(self, upstream_id: UpstreamId, event: HealthEvent) -> None:
         log_event("upstream_health", upstream=upstream_id, change=event.value)
         owned = self._shards.of_upstream(upstream_id)
@@ -77,7 +80,7 @@
             idle_s = _idle_limit_s(configuration, record)
             if now_s - record.last_seen_s <= idle_s:
                 continue
-            if record.state is FlowState.ELSEWHERE:
+            if record.state in (FlowState.ELSEWHERE, FlowState.RELEASED):
                 elsewhere.setdefault(record.upstream_id, []).append(flow_key)
             else:
                 owned.flows.remove(flow_key)
