--- a/src/wisteriatiller/gossip.py
+++ b/src/wisteriatiller/gossip.py
@@ -116,8 +116,15 @@
     def compare(
         self, buckets: Iterable[int], versions: Iterable[tuple[str, int, int]]
     ) -> tuple[list[Entry], list[str]]:
-        """What another host lacks and what it has newer, in the given buckets."""
-        theirs = {key: (version, check) for key, version, check in versions}
+        """What another host lacks and what it has newer, in the given buckets.
+
+        Raises ``ValueError``, ``TypeError`` or ``IndexError`` for malformed versions.
+        """
+        theirs = {}
+        for key, version, check in versions:
+            if not isinstance(key, str):
+                raise ValueError("key that is no text")
+            theirs[key] = (int(version), check)
         newer = []
         wanted = []
         for bucket in buckets:
--- a/src/wisteriatiller/membership.py
+++ b/src/wisteriatiller/membership.py
@@ -49,10 +49,6 @@
         """Every known host, also leaving and dead ones, this one included."""
         return ()
 
-    def zone_reachable(self, zone: ZoneId) -> bool:
-        """Whether any host of the zone answered this host lately."""
-        return True
-
     @abstractmethod
     def publish(self, key: str, version: int, value: object) -> None:
         """Gossip a value; a higher version replaces a lower one on every host."""
--- a/src/wisteriatiller/swim.py
+++ b/src/wisteriatiller/swim.py
@@ -623,7 +623,10 @@
         sender = self._hosts.get(received.sender)
         entries = self._about(sender)
         own_key = _HOST_PREFIX + self._host_id
-        if any(update[:1] == (own_key,) for update in received.updates):
+        if any(
+            isinstance(update, tuple) and update[:1] == (own_key,)
+            for update in received.updates
+        ):
             entries = entries + self._own_entry()
         if sender is None or sender.zone != self._zone:
             return self._wire(entries)
--- /dev/null
+++ b/tests/steps/membership_steps.py
@@ -0,0 +1,535 @@
+"""Steps for membership and gossip, on virtual time."""
+
+import asyncio
+from dataclasses import replace
+
+import msgpack
+from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
+
+from tests.fakes import PEER_KEY, FakeNetwork, run_virtual
+from wisteriatiller import gossipwire
+from wisteriatiller.gossip import GossipState, make_entry
+from wisteriatiller.ids import Address
+from wisteriatiller.membership import HostState
+from wisteriatiller.messages import _checks_by_type, encode
+from wisteriatiller.swim import SwimMembership
+
+
+class Cluster:
+    """Hosts ``z<zone>-<number>`` with membership, on a network of their own."""
+
+    def __init__(self, count, zones, seed):
+        self.count, self.zones, self.seed = count, zones, seed
+        self.zone_names = [f"z{zone}" for zone in range(zones)]
+
+    async def start(self):
+        self.network = FakeNetwork(self.seed)
+        self.hosts = {}
+        self.addresses = {}
+        self.outside = None
+        names = [f"z{i % self.zones}-{i}" for i in range(self.count)]
+        self.seeds = [self.network.seed(name, name[:2]) for name in names[:2]]
+        for name in names:
+            await self.add(name)
+        await asyncio.gather(*(host.wait_joined(10) for host in self.hosts.values()))
+        await self.wait_for(self.all_alive, 5)
+
+    async def add(self, name, **options):
+        environment = self.network.environment(
+            name, name[:2], **{"seeds": self.seeds, **options}
+        )
+        self.hosts[name] = SwimMembership(environment)
+        await self.hosts[name].start()
+        return self.hosts[name]
+
+    def crash(self, name):
+        self.network.crash(name)
+        self.hosts.pop(name).close()
+
+    async def wait_for(self, condition, limit_s):
+        """Wait for the condition and return how long it took."""
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        while not condition():
+            passed_s = loop.time() - start_s
+            assert passed_s <= limit_s, f"{condition} not met in {limit_s} s"
+            await asyncio.sleep(0.02)
+        return loop.time() - start_s
+
+    def views(self, of, observers=None):
+        """The entry of one host at the others; None where it is unknown."""
+        return [
+            {m.host_id: m for m in host.members()}.get(of)
+            for name, host in self.hosts.items()
+            if name != of and (observers is None or name.startswith(observers))
+        ]
+
+    def all_alive(self):
+        return all(
+            view is not None and view.state == HostState.ALIVE
+            for name in self.hosts
+            for view in self.views(name)
+        )
+
+    def sums_equal(self):
+        return len({host._state.root for host in self.hosts.values()}) == 1
+
+    def total(self, name):
+        return sum(
+            host._environment.metrics.counters().get(name, 0)
+            for host in self.hosts.values()
+        )
+
+
+def run(context, scenario):
+    """Run a scenario on a fresh cluster; keep the cluster for later steps."""
+
+    async def started():
+        await context.cluster.start()
+        await scenario(context.cluster)
+
+    run_virtual(started(), seed=context.cluster.seed)
+
+
+@given("a cluster of {count:d} hosts in {zones:d} zones with seed {seed:d}")
+def given_cluster(context, count, zones, seed):
+    context.cluster = Cluster(count, zones, seed)
+    context.expected_deaths = 0
+
+
+@when("one host of the cluster crashes")
+def when_crash(context):
+    async def scenario(cluster):
+        cluster.crash("z2-2")
+
+        def dead(observers=None):
+            views = cluster.views("z2-2", observers)
+            return all(view.state == HostState.DEAD for view in views)
+
+        context.zone_s = await cluster.wait_for(lambda: dead("z2"), 20)
+        context.all_s = context.zone_s + await cluster.wait_for(dead, 20)
+
+    run(context, scenario)
+    context.expected_deaths = len(context.cluster.hosts)
+
+
+@then("its zone holds it dead within {zone_s:g} s and every host within {all_s:g} s")
+def then_found_dead(context, zone_s, all_s):
+    assert context.zone_s <= zone_s and context.all_s <= all_s, (
+        context.zone_s,
+        context.all_s,
+    )
+
+
+@then("no other host was declared dead")
+def then_no_deaths(context):
+    deaths = context.cluster.total("membership.became_dead")
+    assert deaths == context.expected_deaths, deaths
+
+
+@when(
+    "{percent:d} percent of the datagrams are lost and some are late or doubled "
+    "for {length_s:d} s"
+)
+def when_lossy(context, percent, length_s):
+    async def scenario(cluster):
+        network = cluster.network
+        network.loss = percent / 100
+        network.duplication = network.reordering = 0.1
+        network.delay_s = (0.0005, 0.03)
+        await asyncio.sleep(length_s)
+
+    run(context, scenario)
+
+
+@then("no host of the cluster held a zone cut off")
+def then_no_cut(context):
+    assert context.cluster.total("membership.zone_cut") == 0
+
+
+@when("one host of the cluster is cut off for {length_s:g} s")
+def when_cut_off(context, length_s):
+    async def scenario(cluster):
+        others = [name for name in cluster.hosts if name != "z0-0"]
+        before = cluster.hosts["z0-0"]._incarnation
+        cluster.network.cut(["z0-0"], others)
+        await asyncio.sleep(length_s)
+        cluster.network.heal()
+        context.refutation_s = await cluster.wait_for(
+            lambda: all(
+                view.state == HostState.ALIVE and view.incarnation > before
+                for view in cluster.views("z0-0")
+            ),
+            5,
+        )
+
+    run(context, scenario)
+
+
+@then("it was suspected and every host holds it alive in a higher incarnation")
+def then_refuted(context):
+    assert context.cluster.total("membership.became_suspect") > 0
+    assert context.cluster.hosts["z0-0"]._environment.metrics.counters()[
+        "membership.refutations"
+    ]
+
+
+def restart(context, delay_s):
+    async def scenario(cluster):
+        cluster.crash("z1-1")
+        await asyncio.sleep(delay_s)
+        address = Address("10.9.9.9", 7400)
+        await cluster.add("z1-1", peer_listen=address)
+        context.restart_s = await cluster.wait_for(
+            lambda: all(
+                view.address == address and view.state == HostState.ALIVE
+                for view in cluster.views("z1-1")
+            ),
+            20,
+        )
+
+    run(context, scenario)
+
+
+@when("one host of the cluster restarts at a new address at once")
+def when_restart(context):
+    restart(context, 0)
+
+
+@when("one host of the cluster restarts at a new address after its death")
+def when_restart_late(context):
+    restart(context, 30)
+
+
+@then("within {limit_s:g} s every host holds it alive at the new address")
+def then_restarted(context, limit_s):
+    assert context.restart_s <= limit_s, context.restart_s
+
+
+@when(
+    "the first zone is cut off for {length_s:d} s "
+    "and values are published on both sides"
+)
+def when_zone_cut(context, length_s):
+    async def scenario(cluster):
+        inside = [host for name, host in cluster.hosts.items() if name[:2] == "z0"]
+        outside = [host for name, host in cluster.hosts.items() if name[:2] != "z0"]
+
+        def apart():
+            return all(
+                not host.zone_reachable(zone)
+                for host in inside
+                for zone in cluster.zone_names[1:]
+            ) and not any(host.zone_reachable("z0") for host in outside)
+
+        def together():
+            return all(
+                host.zone_reachable(zone)
+                for host in cluster.hosts.values()
+                for zone in cluster.zone_names
+            )
+
+        cluster.network.cut(["z0"], cluster.zone_names[1:])
+        context.apart_s = await cluster.wait_for(apart, 20)
+        assert all(host.zone_reachable("z2") for host in outside)
+        for number in range(length_s // 10):
+            inside[0].publish(f"inside/{number}", 1, number)
+            outside[0].publish("both", number, "outside")
+            inside[1].publish("both", number + 1, "inside")
+            await asyncio.sleep(10)
+        cluster.network.heal()
+        context.together_s = await cluster.wait_for(together, 20)
+        context.equal_s = context.together_s + await cluster.wait_for(
+            cluster.sums_equal, 20
+        )
+        values = {host.value("both") for host in cluster.hosts.values()}
+        assert values == {(length_s // 10, "inside")}, values
+
+    run(context, scenario)
+
+
+@then("both sides of the cut held each other unreachable within {limit_s:g} s")
+def then_apart(context, limit_s):
+    assert context.apart_s <= limit_s, context.apart_s
+
+
+@then(
+    "the zones were back within {back_s:g} s and the values equal within {equal_s:g} s"
+)
+def then_together(context, back_s, equal_s):
+    times = (context.together_s, context.equal_s)
+    assert times[0] <= back_s and times[1] <= equal_s, times
+
+
+@when("the hosts of the only zone are cut in two halves for {length_s:d} s")
+def when_halves(context, length_s):
+    async def scenario(cluster):
+        names = list(cluster.hosts)
+        cluster.network.cut(names[:4], names[4:])
+        await asyncio.sleep(length_s)
+        assert len(cluster.hosts[names[0]].members()) == 4
+        cluster.network.heal()
+        context.met_s = await cluster.wait_for(cluster.all_alive, 60)
+
+    run(context, scenario)
+
+
+@then("within {limit_s:g} s every host holds every host alive")
+def then_met(context, limit_s):
+    assert context.met_s <= limit_s, context.met_s
+
+
+@when("{percent:d} percent of the datagrams are lost")
+def when_some_lost(context, percent):
+    context.loss = percent / 100
+
+
+@then("{count:d} values in a row reach every host within {limit_s:g} s each")
+def then_values_reach(context, count, limit_s):
+    async def scenario(cluster):
+        cluster.network.loss = context.loss
+        hosts = list(cluster.hosts.values())
+        for number in range(count):
+            hosts[number].publish("config", number + 1, f"text {number}")
+            known = (number + 1, f"text {number}")
+            await cluster.wait_for(
+                lambda known=known: all(h.value("config") == known for h in hosts),
+                limit_s,
+            )
+
+    run(context, scenario)
+
+
+@when("{count:d} values are published and a host joins through seeds of other ids")
+def when_joins(context, count):
+    async def scenario(cluster):
+        first = cluster.hosts["z0-0"]
+        for number in range(count):
+            first.publish(f"value/{number}", 1, "x" * 50)
+        await asyncio.sleep(20)
+        seeds = [replace(seed, host_id="former") for seed in cluster.seeds]
+        joiner = await cluster.add("z1-99", seeds=seeds)
+        keys = [f"value/{number}" for number in range(count)]
+        context.join_s = await cluster.wait_for(
+            lambda: (
+                all(joiner.value(key) for key in keys)
+                and len(joiner.members()) == 7
+                and cluster.all_alive()
+            ),
+            30,
+        )
+
+    run(context, scenario)
+
+
+@then("the joiner has all {count:d} values and every host within {limit_s:g} s")
+def then_joined(context, count, limit_s):
+    assert context.join_s <= limit_s, context.join_s
+
+
+@when("one host of the cluster crashes and {delay_s:d} s later another host joins")
+def when_crash_and_join(context, delay_s):
+    async def scenario(cluster):
+        cluster.crash("z1-4")
+        await asyncio.sleep(delay_s)
+        await cluster.add("z1-9")
+        await asyncio.sleep(650 - delay_s)
+
+    run(context, scenario)
+
+
+@then("the crashed host is unknown everywhere {passed_s:d} s after its crash")
+def then_forgotten(context, passed_s):
+    assert set(context.cluster.views("z1-4")) == {None}
+
+
+@then("all hosts of the cluster hold equal sums")
+def then_equal_sums(context):
+    assert context.cluster.sums_equal()
+
+
+@when("the clock of one host jumps by {jump_s:g} s")
+def when_stall(context, jump_s):
+    async def scenario(cluster):
+        host = cluster.hosts["z0-3"]
+        context.former = host._incarnation
+        context.at_stall = []
+        host.on_stall(lambda: context.at_stall.append(host._incarnation))
+        host._environment.clock.offset_s += jump_s
+        context.rejoin_s = await cluster.wait_for(
+            lambda: all(v.incarnation > context.former for v in cluster.views("z0-3")),
+            20,
+        )
+
+    run(context, scenario)
+
+
+@then("its stall listeners were called before its new incarnation was announced")
+def then_stall_seen(context):
+    assert context.at_stall == [context.former], context.at_stall
+
+
+@then("within {limit_s:g} s every host holds its higher incarnation")
+def then_rejoined(context, limit_s):
+    assert context.rejoin_s <= limit_s, context.rejoin_s
+
+
+def record_datagrams(network, sent):
+    send = network.send_datagram
+
+    def record(port, data, address):
+        sent.append((data, address))
+        send(port, data, address)
+
+    network.send_datagram = record
+
+
+@when("{count:d} forged, mutated, truncated, oversized and replayed datagrams arrive")
+def when_forged(context, count):
+    async def scenario(cluster):
+        sent = []
+        record_datagrams(cluster.network, sent)
+        await asyncio.sleep(20)
+        recorded = tuple(sent)
+        random = cluster.network.random
+        target = cluster.network.address("z0-1")
+        outsider = await cluster.network.datagram_ports("outsider", "z0").open(
+            Address("10.99.0.1", 1), lambda data, sender: None
+        )
+        elsewhere = [data for data, address in recorded if address != target]
+        changes = (
+            lambda data: random.randbytes(random.randrange(0, 200)),
+            lambda data: data[: random.randrange(len(data))],
+            lambda data: bytes([data[0] ^ 1]) + data[1:],
+            lambda data: data[:-1] + bytes([data[-1] ^ 1]),
+            lambda data: data + bytes(2000),
+            lambda data: gossipwire.sign((b"other key",), data[16:]) + data[16:],
+            lambda data: data,
+        )
+        before = [host.members() for host in cluster.hosts.values()]
+        for number in range(count):
+            change = changes[number % len(changes)]
+            outsider.send(change(random.choice(elsewhere)), target)
+            if number % 100 == 0:
+                # Genuine datagrams to this host, once more.
+                outsider.send(random.choice(recorded)[0], target)
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(1)
+        context.unchanged = before == [h.members() for h in cluster.hosts.values()]
+        context.dropped = cluster.total("membership.dropped_datagrams")
+
+    run(context, scenario)
+    context.forged = count
+
+
+@then("the cluster is unchanged and the datagrams were counted as dropped")
+def then_unchanged(context):
+    assert context.unchanged
+    assert context.dropped >= context.forged, context.dropped
+
+
+WIRE_VALUES = (None, True, -1, 0, 1 << 62, (1 << 64) - 1, 2.5, "", "host/z0-1", b"")
+
+
+def random_field(random, depth=0):
+    if depth < 3 and random.random() < 0.4:
+        return [random_field(random, depth + 1) for _ in range(random.randrange(6))]
+    return random.choice(WIRE_VALUES)
+
+
+def random_update(random):
+    key = random.choice(("host/z0-1", "host/new", "config", "host/"))
+    packed = msgpack.packb(random_field(random))
+    return (key, random.randrange(1 << 20), random.choice((packed, b"\xc1", b"")), 0)
+
+
+def random_message(random):
+    kinds = [
+        cls for cls in _checks_by_type if cls.__module__ == "wisteriatiller.gossipwire"
+    ]
+    cls = random.choice(kinds)
+    values = []
+    for _, allowed in _checks_by_type[cls]:
+        if tuple in allowed:
+            field = random_field(random)
+            updates = [random_update(random) for _ in range(random.randrange(3))]
+            values.append(updates + (field if isinstance(field, list) else []))
+        elif bytes in allowed:
+            values.append(random.randbytes(random.choice((0, 1, 5, 512))))
+        elif int in allowed:
+            values.append(random.choice((-1, 0, 7, 1 << 62)))
+        else:
+            values.append(random.choice(("", "z0-0", "z0-2", "stranger")))
+    return cls(*values)
+
+
+@when("{count:d} genuine datagrams with random fields arrive")
+def when_random_fields(context, count):
+    async def scenario(cluster):
+        random = cluster.network.random
+        target = cluster.network.address("z0-1")
+        peer = cluster.hosts["z0-2"]._port
+        for number in range(count):
+            message = random_message(random)
+            peer.send(gossipwire.seal((PEER_KEY,), target, message), target)
+            peers = cluster.hosts["z0-1"]._environment.peers
+            body = ["z0-2", 0, 0, encode(message)]
+            peers.receive_frame(msgpack.packb(body))
+            if number % 50 == 0:
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(30)
+        cluster.hosts["z0-3"].publish("after", 1, "the fuzzing")
+        await cluster.wait_for(
+            lambda: all(host.value("after") for host in cluster.hosts.values()), 5
+        )
+        await cluster.wait_for(cluster.all_alive, 30)
+
+    run(context, scenario)
+
+
+@then("the cluster still works")
+def then_works(context):
+    assert context.cluster.total("membership.dropped_malformed_update") > 0
+    errors = context.cluster.total("peers.handler_errors")
+    assert errors == 0, errors
+
+
+ENTRIES = st.dictionaries(
+    st.text("abc", min_size=1, max_size=4),
+    st.tuples(st.integers(0, 3), st.integers(0, 2)),
+    max_size=60,
+)
+
+
+def state_of(entries):
+    state = GossipState()
+    for key, (version, value) in entries.items():
+        state.put(make_entry(key, version, msgpack.packb(value)))
+    return state
+
+
+def take(state, entries):
+    for entry in entries:
+        if state.is_newer(entry.key, entry.version, entry.packed):
+            state.put(make_entry(entry.key, entry.version, entry.packed))
+
+
+@then("any two gossip states are equal after one comparison each way")
+def then_states_equal(context):
+    @settings(max_examples=300, deadline=None, derandomize=True, database=None)
+    @for_all(ENTRIES, ENTRIES)
+    def check(first_entries, second_entries):
+        first, second = state_of(first_entries), state_of(second_entries)
+        buckets = first.differing_buckets(second.bucket_sums())
+        versions = [item for bucket in buckets for item in first.versions(bucket)]
+        newer, wanted = second.compare(buckets, versions)
+        answer = [first.entries[key] for key in wanted]
+        take(first, newer)
+        take(second, answer)
+        assert first.root == second.root
+        assert first.entries.keys() == second.entries.keys()
+        for key, entry in first.entries.items():
+            assert entry.rank() == second.entries[key].rank()
+
+    check()
