--- a/src/wisteriatiller/flows.py
+++ b/src/wisteriatiller/flows.py
@@ -37,6 +37,7 @@
     def __init__(self):
         self._records: dict[FlowKey, FlowRecord] = {}
         self._open_counts: dict[UpstreamId, int] = {}
+        self._opened: dict[UpstreamId, int] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -50,10 +51,15 @@
     def open_count(self, upstream_id: UpstreamId) -> int:
         return self._open_counts.get(upstream_id, 0)
 
+    def opened(self, upstream_id: UpstreamId) -> int:
+        """How many flows were opened on the upstream so far."""
+        return self._opened.get(upstream_id, 0)
+
     def put(self, flow_key: FlowKey, record: FlowRecord) -> None:
         self.remove(flow_key)
         self._records[flow_key] = record
         if record.state is FlowState.OPEN:
+            self._opened[record.upstream_id] = self.opened(record.upstream_id) + 1
             self._count(record.upstream_id, 1)
 
     def remove(self, flow_key: FlowKey) -> None:
--- a/src/wisteriatiller/loads.py
+++ b/src/wisteriatiller/loads.py
@@ -19,8 +19,8 @@
 # Bounds the control traffic of owners of large services: their summaries go round
 # all peers within the lifetime for up to 320 peers.
 MAX_SUMMARIES_PER_ROUND = 64
-GROWTH_GAIN = 0.5
-LOAD_FIELDS = 6
+RATE_GAIN = 0.5
+LOAD_FIELDS = 7
 
 
 @message(70)
@@ -28,7 +28,8 @@
     """Loads of the sender's upstreams.
 
     Each is a tuple of upstream id, open flows, growth of the open flows per second,
-    mean service time in seconds (0 if not known), share and pressure.
+    flows opened per second, mean service time in seconds (0 if not known), share and
+    pressure.
     """
 
     loads: tuple
@@ -45,12 +46,33 @@
 
     open_flows: float
     growth: float = 0.0
+    opening_rate: float = 0.0
     service_time_s: float = 0.0
     share: float = 1.0
     pressure: float = 0.0
     at_s: float = 0.0
 
 
+class _Rates:
+    """Smoothed changes per second of one upstream's flows."""
+
+    def __init__(self):
+        self.growth = 0.0
+        self.opening_rate = 0.0
+        self._former: tuple[int, int] | None = None
+
+    def measure(self, open_flows: int, opened: int) -> None:
+        """Take the counts; called once each ``SUMMARY_INTERVAL_S``."""
+        if self._former is not None:
+            change = (open_flows - self._former[0]) / SUMMARY_INTERVAL_S
+            opening = (opened - self._former[1]) / SUMMARY_INTERVAL_S
+            self.growth = round(self.growth + RATE_GAIN * (change - self.growth), 2)
+            self.opening_rate = round(
+                self.opening_rate + RATE_GAIN * (opening - self.opening_rate), 2
+            )
+        self._former = (open_flows, opened)
+
+
 class LoadBoard:
     """The loads of this host's upstreams, and those that other owners told it."""
 
@@ -68,7 +90,7 @@
         self._remote: dict[UpstreamId, UpstreamLoad] = {}
         self._placed: dict[UpstreamId, int] = {}
         self._sent: dict[UpstreamId, UpstreamLoad] = {}
-        self._growth: dict[UpstreamId, tuple[int, float]] = {}
+        self._rates: dict[UpstreamId, _Rates] = {}
         self._round = 0
         self._next_peer = 0
         environment.peers.register(LoadSummary, self._handle_summary)
@@ -93,6 +115,7 @@
         return UpstreamLoad(
             grown,
             load.growth,
+            load.opening_rate,
             load.service_time_s,
             load.share,
             load.pressure,
@@ -148,30 +171,29 @@
                 continue
             for upstream in self._shards.upstreams_of(owned):
                 upstream_id = upstream.upstream_id
-                self._measure_growth(upstream_id, owned.flows.open_count(upstream_id))
+                self._rates.setdefault(upstream_id, _Rates()).measure(
+                    owned.flows.open_count(upstream_id), owned.flows.opened(upstream_id)
+                )
                 load = self._own_load(upstream_id)
                 loads.setdefault(upstream.service_id, {})[upstream_id] = load
         return loads
 
-    def _measure_growth(self, upstream_id: UpstreamId, count: int) -> None:
-        former, growth = self._growth.get(upstream_id, (count, 0.0))
-        change = (count - former) / SUMMARY_INTERVAL_S
-        growth += GROWTH_GAIN * (change - growth)
-        self._growth[upstream_id] = (count, round(growth, 2))
-
     def _own_load(self, upstream_id: UpstreamId) -> UpstreamLoad | None:
         owned = self._shards.of_upstream(upstream_id)
         if owned is None:
             return None
         open_flows = owned.flows.open_count(upstream_id)
-        growth = self._growth.get(upstream_id, (0, 0.0))[1]
+        rates = self._rates.get(upstream_id) or _Rates()
         now_s = self._now_s()
         dispatcher = owned.dispatchers.get(upstream_id)
         if dispatcher is None:
-            return UpstreamLoad(open_flows, growth, at_s=now_s)
+            return UpstreamLoad(
+                open_flows, rates.growth, rates.opening_rate, at_s=now_s
+            )
         return UpstreamLoad(
             open_flows,
-            growth,
+            rates.growth,
+            rates.opening_rate,
             round(dispatcher.health.mean_service_time_s or 0.0, 4),
             _share(dispatcher),
             round(dispatcher.pressure(), 2),
@@ -250,6 +272,7 @@
         upstream_id,
         int(load.open_flows),
         load.growth,
+        load.opening_rate,
         load.service_time_s,
         load.share,
         load.pressure,
