--- a/src/wisteriatiller/configrecord.py
+++ b/src/wisteriatiller/configrecord.py
@@ -10,6 +10,8 @@
 The services are stored beside the text, so that a host need not parse the text.
 """
 
+import contextlib
+import gc
 import zlib
 from dataclasses import dataclass, replace
 
@@ -135,7 +137,8 @@
         unpacked = unpacker.decompress(data, MAX_UNPACKED_BYTES)
         if not unpacker.eof:
             return RecordInvalid("the record is cut off or too large")
-        return _record(msgpack.unpackb(unpacked))
+        with _collector_paused():
+            return _record(msgpack.unpackb(unpacked))
     except (
         zlib.error,
         msgpack.UnpackException,
@@ -147,6 +150,23 @@
         return RecordInvalid(f"undecodable record: {error!r}")
 
 
+@contextlib.contextmanager
+def _collector_paused():
+    """Keep the garbage collector from running while a record is decoded.
+
+    Decoding makes many objects and no garbage. At 12,000 upstreams with 16 earlier
+    tables, collections in between made up 0.37 s of 0.53 s, during which a host
+    forwards nothing.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
 def _upstream_row(upstream: Upstream) -> list:
     return [
         upstream.upstream_id,
--- a/src/wisteriatiller/configstore.py
+++ b/src/wisteriatiller/configstore.py
@@ -372,7 +372,7 @@
             CONFIG_KEY, data, index if stored.revision else 0
         )
         if isinstance(outcome, StoreEntry):
-            self._environment.metrics.count("config_written_back")
+            self._environment.metrics.count("config.written_back")
             log_event(
                 "config_written_back",
                 level="warning",
@@ -473,7 +473,7 @@
         )
         self._record = record
         self._data = data
-        self._environment.metrics.gauge("config_revision", record.revision)
+        self._environment.metrics.gauge("config.revision", record.revision)
         log_event("config_applied", revision=record.revision, source=source)
         for listener in self._listeners:
             listener(record.configuration)
--- a/src/wisteriatiller/textcheck.py
+++ b/src/wisteriatiller/textcheck.py
@@ -24,8 +24,8 @@
 # The deepest valid text nests 6 levels. Parsers recurse once or more for each level,
 # so the bound also keeps them away from the interpreter's recursion limit.
 MAX_DEPTH = 8
-# json5 reads about 40 KB a second. Larger texts have to be JSON apart from comments
-# and trailing commas, which the standard parser reads at several MB a second.
+# json5 reads 40 to 70 KB a second. Larger texts have to be JSON apart from comments
+# and trailing commas, which are read at about 1 MB a second.
 MAX_JSON5_BYTES = 200_000
 MAX_ID_LENGTH = 64
 MAX_FOUND_LENGTH = 60
