--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -178,6 +178,10 @@
         """Drop everything between two groups of host ids or zones."""
         self._cuts.append((frozenset(first), frozenset(second)))
 
+    @property
+    def has_cuts(self) -> bool:
+        return bool(self._cuts)
+
     def heal(self) -> None:
         """End every cut."""
         self._cuts.clear()
