Grant shard leases by a majority of the zone's grantors

MajorityLeases holds a lease only after a majority of the grantor view granted a new epoch and, in a second round, learned that it is held. Its expiry counts from the send time less the drift margin; grantors count from the receipt and abstain for one lease duration after a restart, and until they know that they did not forget a newer view. The view changes by compare-and-swap with a joint majority until the former view can grant nothing any more. One message for each grantor and round carries all shards.

--- /dev/null
+++ b/tests/steps/lease_steps.py
@@ -0,0 +1,244 @@
+"""Steps for the leases of ownership shards."""
+
+import asyncio
+
+from behave import given, then, when
+
+from tests.fakes import run_virtual
+from tests.faults import run_seed
+from tests.zone import Zone
+from wisteriatiller.leasemessages import LeaseRequest
+
+SEED = 11
+START_LIMIT_S = 30.0
+SETTLE_S = 5.0
+
+
+def run_zone(context, scenario):
+    """Run ``scenario(zone)`` in a started zone whose shards have owners."""
+
+    async def run():
+        zone = Zone(SEED, context.host_count, context.lease_shards)
+        await zone.start()
+        assert await zone.wait_owned(START_LIMIT_S) is not None
+        context.scenario_result = await scenario(zone)
+        if context.scenario_result is None:
+            zone.heal()
+            context.recovered_s = await zone.wait_owned(60)
+        zone.stop()
+        return zone
+
+    context.zone = run_virtual(run(), SEED)
+
+
+@given("a zone of {hosts:d} hosts that lease {shards:d} ownership shards")
+def given_zone(context, hosts, shards):
+    context.host_count = hosts
+    context.lease_shards = shards
+
+
+@when("owner and backup are cut off from each other and believe each other dead")
+def when_mutual_belief(context):
+    async def scenario(zone):
+        shard = zone.shards[0]
+        (owner,) = zone.holders(shard)
+        backup = zone.hosts[owner].ownership.backup(shard)
+        cuts = zone.network.one_way_cuts
+        cuts.update(((owner, backup), (backup, owner)))
+        zone.hosts[owner].membership.believed_dead.add(backup)
+        zone.hosts[backup].membership.believed_dead.add(owner)
+        await asyncio.sleep(SETTLE_S * 6)
+        # The owner still renews through the other grantors, so it keeps the lease.
+        assert zone.holders(shard) == [owner], zone.holders(shard)
+        for name in zone.names:
+            for pair in ((owner, name), (name, owner)):
+                cuts.add(pair)
+                await asyncio.sleep(SETTLE_S)
+
+    run_zone(context, scenario)
+
+
+@when("the owner freezes for 1, 2, 2.8, 3.1, 5 and 30 seconds in turn")
+def when_frozen(context):
+    async def scenario(zone):
+        for frozen_s in (1, 2, 2.8, 3.1, 5, 30):
+            (owner,) = zone.holders(zone.shards[0])
+            zone.freeze(owner)
+            for host in zone.hosts.values():
+                if host.host_id != owner:
+                    host.membership.believed_dead.add(owner)
+            await asyncio.sleep(frozen_s)
+            zone.wake(owner)
+            zone.observe_once()
+            for host in zone.hosts.values():
+                host.membership.believed_dead.clear()
+            await asyncio.sleep(SETTLE_S * 2)
+
+    run_zone(context, scenario)
+
+
+@when("an owner whose clock is {percent:g} percent slower is cut off {times:d} times")
+def when_slow_clock(context, percent, times):
+    async def scenario(zone):
+        for _ in range(times):
+            for host in zone.hosts.values():
+                host.clock.set_rate(1.0)
+            (owner,) = zone.holders(zone.shards[0])
+            zone.hosts[owner].clock.set_rate(1 - percent / 100)
+            await asyncio.sleep(zone.random.uniform(1, 3))
+            zone.partition([owner])
+            await asyncio.sleep(SETTLE_S)
+            zone.heal()
+            await asyncio.sleep(SETTLE_S)
+
+    run_zone(context, scenario)
+
+
+@when("the owner is cut off and most grantors restart before its lease ends")
+def when_restarts(context):
+    async def scenario(zone):
+        for _ in range(5):
+            (owner,) = zone.holders(zone.shards[0])
+            zone.partition([owner])
+            for name in zone.names:
+                if name != owner:
+                    zone.boot(name).membership.believed_dead.add(owner)
+                    await asyncio.sleep(0.05)
+            assert zone.holders(zone.shards[0]) == [owner]
+            await asyncio.sleep(SETTLE_S * 2)
+            zone.heal()
+            await asyncio.sleep(SETTLE_S)
+
+    run_zone(context, scenario)
+
+
+@when("three grantors are replaced in the list while they and the owner are cut off")
+def when_replaced(context):
+    async def scenario(zone):
+        (owner,) = zone.holders(zone.shards[0])
+        members = zone.hosts[owner].views.view.members
+        leaving = [name for name in members if name != owner][:3]
+        zone.partition([owner, *leaving], cut_store=True)
+        await zone.list_hosts(zone.names, leaving)
+        await asyncio.sleep(SETTLE_S * 4)
+        # The cut-off owner goes on with the three, and the others wait for them.
+        assert zone.holders(zone.shards[0]) == [owner], zone.holders(zone.shards[0])
+
+    run_zone(context, scenario)
+
+
+@when("three replaced grantors restart where only a host with the former view is")
+def when_stale_restart(context):
+    async def scenario(zone):
+        former = zone.hosts[zone.names[0]].views.view
+        stale = next(name for name in zone.names if name not in former.members)
+        leaving = list(former.members[:3])
+        zone.partition([stale], cut_store=True)
+        await zone.list_hosts(zone.names, leaving)
+        await asyncio.sleep(SETTLE_S * 6)
+        present = zone.hosts[former.members[3]].views.view
+        assert not present.former and not set(leaving) & set(present.members)
+        zone.network.heal()
+        zone.partition([stale, *leaving], cut_store=True)
+        for name in leaving:
+            zone.boot(name)
+        zone.hosts[stale].membership.believed_dead = set(zone.names) - {stale}
+        await asyncio.sleep(SETTLE_S * 6)
+        assert zone.hosts[leaving[0]].views.view == former
+
+    run_zone(context, scenario)
+
+
+@when("the store goes away and then the owner of a shard dies")
+def when_store_away(context):
+    async def scenario(zone):
+        zone.store.set_away(True)
+        await asyncio.sleep(SETTLE_S)
+        (owner,) = zone.holders(zone.shards[0])
+        zone.crash(owner)
+        for host in zone.hosts.values():
+            host.membership.believed_dead.add(owner)
+        recovered_s = await zone.wait_owned(60)
+        restarted = zone.boot(owner)
+        await asyncio.sleep(6)
+        return recovered_s, restarted.grantor.is_abstaining
+
+    run_zone(context, scenario)
+
+
+@when("{seconds:d} seconds pass")
+def when_seconds_pass(context, seconds):
+    async def scenario(zone):
+        sent = {}
+        for host in zone.hosts.values():
+            count_requests(host, sent)
+        await asyncio.sleep(seconds)
+        return {pair: count / seconds for pair, count in sent.items()}
+
+    run_zone(context, scenario)
+
+
+def count_requests(host, sent):
+    call = host.environment.peers.call
+
+    def counted(target, message, timeout_s):
+        if isinstance(message, LeaseRequest):
+            pair = (host.host_id, target)
+            sent[pair] = sent.get(pair, 0) + 1
+        return call(target, message, timeout_s)
+
+    host.environment.peers.call = counted
+
+
+@when(
+    "{minutes:d} minutes of random faults pass on each of {seeds:d} seeds from "
+    "{first:d}"
+)
+def when_random_faults(context, minutes, seeds, first):
+    context.fault_runs = {
+        seed: run_seed(seed, context.host_count, minutes * 60)
+        for seed in range(first, first + seeds)
+    }
+
+
+@then("never two hosts held a lease")
+def then_one_holder(context):
+    assert context.zone.held_checks > 0
+    assert context.zone.violations == [], context.zone.violations[:5]
+
+
+@then("after healing each shard has an owner within {limit_s:g} seconds")
+def then_recovered(context, limit_s):
+    assert context.recovered_s is not None
+    assert context.recovered_s <= limit_s, context.recovered_s
+
+
+@then("the shards have owners within {limit_s:g} seconds")
+def then_owned_without_store(context, limit_s):
+    recovered_s, _ = context.scenario_result
+    assert recovered_s is not None and recovered_s <= limit_s, recovered_s
+
+
+@then("a host that restarts meanwhile grants again within 6 seconds")
+def then_grants_again(context):
+    _, is_abstaining = context.scenario_result
+    assert not is_abstaining
+
+
+@then("no host sent more than {rate:g} renewal messages a second to a grantor")
+def then_message_rate(context, rate):
+    assert context.scenario_result
+    assert max(context.scenario_result.values()) <= rate, context.scenario_result
+
+
+@then("never two hosts held a lease on any seed")
+def then_one_holder_on_seeds(context):
+    for seed, (zone, _) in context.fault_runs.items():
+        assert zone.held_checks > 0
+        assert zone.violations == [], (seed, zone.violations[:5])
+
+
+@then("on each seed each shard had an owner within {limit_s:g} seconds after healing")
+def then_recovered_on_seeds(context, limit_s):
+    for seed, (_, recovered_s) in context.fault_runs.items():
+        assert recovered_s is not None and recovered_s <= limit_s, (seed, recovered_s)
