--- a/src/wisteriatiller/textcheck.py
+++ b/src/wisteriatiller/textcheck.py
@@ -21,7 +21,7 @@
 from .ids import Address
 
 MAX_TEXT_BYTES = 1_000_000
-# The deepest valid text nests 6 levels. Parsers recurse once or more for each level,
+# The deepest valid text nests 5 levels. Parsers recurse once or more for each level,
 # so the bound also keeps them away from the interpreter's recursion limit.
 MAX_DEPTH = 8
 # json5 reads 40 to 70 KB a second. Larger texts have to be JSON apart from comments
--- a/tests/configtext.feature
+++ b/tests/configtext.feature
@@ -7,6 +7,10 @@
     When the text with comments and trailing commas is read
     Then the service has the values of the text and the defaults
 
+  Scenario: The examples of the documentation are valid
+    # Guards against a reference page that shows keys which are refused.
+    Then the text and the settings of the configuration page are valid
+
   Scenario Outline: One wrong value in the text is named
     # Guards against a bad value that reaches the hosts, and an unclear message.
     When the key "<key>" of the text is set to <value>
--- a/tests/steps/configtext_steps.py
+++ b/tests/steps/configtext_steps.py
@@ -2,6 +2,7 @@
 
 import ast
 import json
+import re
 import tempfile
 from pathlib import Path
 
@@ -21,7 +22,7 @@
 from wisteriatiller.configtext import load_text
 from wisteriatiller.exceptions import SettingsError
 from wisteriatiller.ids import Address, SubmissionId
-from wisteriatiller.settings import load_settings
+from wisteriatiller.settings import HostSettings, load_settings
 from wisteriatiller.textcheck import TextProblems
 
 RUNS = hypothesis_settings(max_examples=300, deadline=None, derandomize=True)
@@ -111,6 +112,18 @@
     assert (upstream.slots, upstream.weight, upstream.drain) == (3, 2.0, False)
 
 
+@then("the text and the settings of the configuration page are valid")
+def then_page_valid(context):
+    page = Path(__file__).parents[2] / "docs" / "configuration.md"
+    text, settings = re.findall(r"```json5\n(.*?)```", page.read_text("utf-8"), re.S)
+    outcome = load_text(text.encode(), page.name)
+    assert isinstance(outcome, Configuration), str(outcome)
+    # The page shows only the start of a key.
+    settings = settings.replace("8f…", "8f" * 16)
+    outcome = read_settings(settings.encode())
+    assert isinstance(outcome, HostSettings), str(outcome)
+
+
 @when('the key "{key}" of the text is set to {value}')
 def when_key_set(context, key, value):
     context.outcome = load_text(with_value(two_services(), key, value), "services.json")
