--- a/src/wisteriatiller/peers.py
+++ b/src/wisteriatiller/peers.py
@@ -110,6 +110,8 @@
         elif host_id == self.host_id:
             asyncio.get_running_loop().call_soon(self._receive, frame)
         else:
+            self._metrics.count("peers.frames_sent")
+            self._metrics.count("peers.bytes_sent", len(frame))
             self._transmit(host_id, frame)
 
     def _receive(self, frame: bytes) -> None:
