--- a/src/wisteriatiller/peers.py
+++ b/src/wisteriatiller/peers.py
@@ -12,7 +12,6 @@
 """
 
 import asyncio
-import inspect
 import secrets
 import socket
 import struct
@@ -146,11 +145,11 @@
         except Exception as error:
             self._report_handler_error(message, error)
             return
-        if inspect.isawaitable(reply):
+        if reply is None or isinstance(reply, Message):
+            self._reply(sender, call_id, reply)
+        else:
             name = f"handle {type(message).__name__}"
             spawn(self._finish(sender, call_id, message, reply), name)
-        else:
-            self._reply(sender, call_id, reply)
 
     async def _finish(self, sender, call_id, message, pending) -> None:
         try:
@@ -260,6 +259,7 @@
                 finally:
                     connection.stream.close()
         finally:
+            outgoing.idle.cancel()
             del self._outgoing[host_id]
 
     async def _connect(self, host_id: HostId) -> "_Connection | None":
@@ -294,12 +294,15 @@
                 return
             if self.address_of(host_id) != connection.address:
                 return
-            async with asyncio.timeout(WRITE_TIMEOUT_S):
-                await connection.write(outgoing.take(MAX_BATCH_BYTES))
+            written = connection.write(outgoing.take(MAX_BATCH_BYTES))
+            if not written.done():
+                async with asyncio.timeout(WRITE_TIMEOUT_S):
+                    await written
 
     async def _accept(self, stream: IOStream) -> None:
         """Read the frames of one incoming stream until it ends."""
         self._accepted.add(stream)
+        idle = None
         try:
             _set_stream_options(stream)
             nonce = secrets.token_bytes(NONCE_BYTES)
@@ -310,9 +313,10 @@
                 while not reader.proven:
                     chunk = await stream.read_bytes(READ_BYTES, partial=True)
                     self._receive_all(reader.feed(chunk))
+            idle = _IdleTimer(ACCEPTED_IDLE_CLOSE_S, stream.close)
             while True:
-                async with asyncio.timeout(ACCEPTED_IDLE_CLOSE_S):
-                    chunk = await stream.read_bytes(READ_BYTES, partial=True)
+                chunk = await stream.read_bytes(READ_BYTES, partial=True)
+                idle.touch()
                 self._receive_all(reader.feed(chunk))
         except (StreamClosedError, TimeoutError, OSError):
             pass
@@ -324,6 +328,8 @@
         finally:
             stream.close()
             self._accepted.discard(stream)
+            if idle is not None:
+                idle.cancel()
 
     def _receive_all(self, frames: list[bytes]) -> None:
         for frame in frames:
@@ -339,6 +345,34 @@
         await self._accept(stream)
 
 
+class _IdleTimer:
+    """Calls ``expire`` once nothing has touched it for ``limit_s``.
+
+    Touching only notes the time; the timer moves itself when it is due. A new timer
+    for each frame would cost more than sending the frame.
+    """
+
+    def __init__(self, limit_s: float, expire: Callable[[], None]):
+        self._limit_s = limit_s
+        self._expire = expire
+        self._loop = asyncio.get_running_loop()
+        self._touched_s = self._loop.time()
+        self._timer = self._loop.call_later(limit_s, self._check)
+
+    def touch(self) -> None:
+        self._touched_s = self._loop.time()
+
+    def cancel(self) -> None:
+        self._timer.cancel()
+
+    def _check(self) -> None:
+        due_s = self._touched_s + self._limit_s
+        if self._loop.time() >= due_s:
+            self._expire()
+            due_s = self._loop.time() + self._limit_s
+        self._timer = self._loop.call_at(due_s, self._check)
+
+
 class _Outgoing:
     """The bounded queue of frames for one peer."""
 
@@ -347,6 +381,7 @@
         self._frames: deque[bytes] = deque()
         self._size_bytes = 0
         self._filled = asyncio.Event()
+        self.idle = _IdleTimer(IDLE_CLOSE_S, self._filled.set)
 
     def put(self, frame: bytes) -> bool:
         """Queue a frame; False if the queue is full."""
@@ -362,14 +397,10 @@
 
     async def wait(self) -> bool:
         """Wait for a frame; False if none came within the idle limit."""
-        if self._frames:
-            return True
-        self._filled.clear()
-        try:
-            async with asyncio.timeout(IDLE_CLOSE_S):
-                await self._filled.wait()
-        except TimeoutError:
-            pass
+        self.idle.touch()
+        if not self._frames:
+            self._filled.clear()
+            await self._filled.wait()
         return bool(self._frames)
 
     def take(self, limit_bytes: int) -> list[bytes]:
--- a/tests/peers.feature
+++ b/tests/peers.feature
@@ -36,3 +36,9 @@
     # Guards against a reader that stops after its limit for one wake-up.
     When 300 datagrams are sent through a UDP socket in one burst
     Then all 300 datagrams of the burst arrived in order
+
+  Scenario: A stream that is not used is closed and opened again when needed
+    # Guards against streams and tasks that pile up, and a frame lost by the closing.
+    Given two hosts with TCP streams
+    When a call over the streams is repeated after the idle limit
+    Then the stream was closed in between and both calls got a reply
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from unittest.mock import patch
 
 from behave import given, then, when
 from tornado.iostream import IOStream
@@ -225,3 +226,28 @@
 @then("all {count:d} datagrams of the burst arrived in order")
 def then_burst_arrived(context, count):
     assert context.burst == [str(number).encode() for number in range(count)]
+
+
+@when("a call over the streams is repeated after the idle limit")
+def when_idle(context):
+    async def scenario():
+        addresses = {}
+        first = await start_tcp_peers(tcp_settings("a"), addresses)
+        second = await start_tcp_peers(tcp_settings("b"), addresses)
+        replies = [await first.call("b", Echo(1), 5.0)]
+        open_streams = [len(first._outgoing), len(second._accepted)]
+        await asyncio.sleep(0.5)
+        open_streams += [len(first._outgoing), len(second._accepted)]
+        replies.append(await first.call("b", Echo(2), 5.0))
+        await first.close()
+        await second.close()
+        return replies, open_streams
+
+    with patch("wisteriatiller.peers.IDLE_CLOSE_S", 0.2):
+        context.peer_replies, context.open_streams = asyncio.run(scenario())
+
+
+@then("the stream was closed in between and both calls got a reply")
+def then_closed_between(context):
+    assert context.peer_replies == [Echo(1), Echo(2)]
+    assert context.open_streams == [1, 1, 0, 0], context.open_streams
