--- a/src/wisteriatiller/swim.py
+++ b/src/wisteriatiller/swim.py
@@ -873,10 +873,10 @@
         self._send(source, Ack(self._host_id, join.nonce, self._wire(entries)))
 
     def _check_seeds(self) -> None:
-        """Contact seeds until joined, and later those that no live host uses.
+        """Contact seeds until joined, and later seeds that no live host uses.
 
-        The latter joins groups that lost sight of each other for so long that they
-        forgot each other.
+        The latter, and one dead host each time, joins groups that hold each other
+        dead, also where they forgot each other or where all seeds are gone.
         """
         now_s = self._clock.now_s()
         joined = self._joined.is_set()
@@ -889,6 +889,9 @@
             used = {host.address for host in self._hosts.values() if host.rank != _DEAD}
             seeds = [address for address in seeds if address not in used]
             seeds = self._random.sample(seeds, min(1, len(seeds)))
+            dead = [host_id for host_id in self._dead if host_id != self._host_id]
+            if dead:
+                seeds.append(self._hosts[self._random.choice(dead)].address)
         self._introduce(seeds)
 
     # Periodic checks.
--- a/tests/membership.feature
+++ b/tests/membership.feature
@@ -61,6 +61,12 @@
     When the hosts of the only zone are cut in two halves for 900 s
     Then within 15 s every host holds every host alive
 
+  Scenario: A host that starts while all seeds are down is found by the others
+    # Guards against a restarted host that stays alone until a seed is back.
+    Given a cluster of 8 hosts in 2 zones with seed 47
+    When all seeds crash and another host restarts
+    Then within 60 s every host holds every host alive
+
   Scenario: A value reaches every host soon
     # Guards against news that waits for comparisons or is lost with a datagram.
     Given a cluster of 60 hosts in 3 zones with seed 51
@@ -98,3 +104,15 @@
   Scenario: Two states are equal after one exchange
     # Guards against sums and versions that hide a difference.
     Then any two gossip states are equal after one comparison each way
+
+  Scenario Outline: Random faults leave no lasting difference
+    # Guards against combinations of faults that no single scenario has.
+    Given a cluster of 12 hosts in 3 zones with seed <seed>
+    When crashes, restarts, cuts, stalls, loss and news come at random for 300 s
+    Then 15 s after the last fault every host agrees with every other
+
+    Examples:
+      | seed |
+      | 101  |
+      | 102  |
+      | 103  |
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -275,6 +275,25 @@
     run(context, scenario)
 
 
+@when("all seeds crash and another host restarts")
+def when_seeds_down(context):
+    async def scenario(cluster):
+        for name in ("z0-0", "z1-1", "z1-3"):
+            cluster.crash(name)
+        await asyncio.sleep(10)
+        await cluster.add("z1-3")
+        names = list(cluster.hosts)
+        context.met_s = await cluster.wait_for(
+            lambda: all(
+                set(host.live_hosts("z0") + host.live_hosts("z1")) == set(names)
+                for host in cluster.hosts.values()
+            ),
+            200,
+        )
+
+    run(context, scenario)
+
+
 @then("within {limit_s:g} s every host holds every host alive")
 def then_met(context, limit_s):
     assert context.met_s <= limit_s, context.met_s
@@ -533,3 +552,77 @@
             assert entry.rank() == second.entries[key].rank()
 
     check()
+
+
+async def random_fault(cluster, down, random, number):
+    network = cluster.network
+    kind = random.choice(("crash", "leave", "start", "cut", "stall", "loss", "news"))
+    name = random.choice(list(cluster.hosts))
+    if kind in ("crash", "leave") and len(cluster.hosts) > 6:
+        down.append(name)
+        if kind == "leave":
+            await cluster.hosts[name].leave()
+            await cluster.hosts[name].stop()
+        cluster.crash(name)
+    elif kind == "start" and down:
+        await cluster.add(down.pop(0))
+    elif kind == "cut":
+        group = random.sample(list(cluster.hosts) + cluster.zone_names, 3)
+        rest = [n for n in list(cluster.hosts) if n not in group]
+        network.cut(group, random.sample(rest, len(rest) // 2) + ["z1"])
+    elif kind == "stall":
+        cluster.hosts[name]._environment.clock.offset_s += random.uniform(0, 20)
+    elif kind == "loss":
+        network.loss = random.choice((0.0, 0.3, 0.6))
+        network.delay_s = (0.0, random.choice((0.001, 0.1)))
+    else:
+        cluster.hosts[name].publish("news", number, name)
+
+
+@when(
+    "crashes, restarts, cuts, stalls, loss and news come at random for {length_s:d} s"
+)
+def when_random_faults(context, length_s):
+    async def scenario(cluster):
+        random = cluster.network.random
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + length_s
+        down = []
+        number = 0
+        while loop.time() < end_s:
+            number += 1
+            await random_fault(cluster, down, random, number)
+            await asyncio.sleep(random.expovariate(0.3))
+            if random.random() < 0.2:
+                cluster.network.heal()
+        cluster.network.heal()
+        cluster.network.loss = 0.0
+
+        def agreed():
+            live = {
+                tuple(
+                    sorted(
+                        member.host_id
+                        for member in host.members()
+                        if member.state == HostState.ALIVE
+                    )
+                )
+                for host in cluster.hosts.values()
+            }
+            values = {host.value("news") for host in cluster.hosts.values()}
+            reachable = all(
+                host.zone_reachable(name[:2])
+                for host in cluster.hosts.values()
+                for name in cluster.hosts
+            )
+            expected = {tuple(sorted(cluster.hosts))}
+            return live == expected and len(values) == 1 and reachable
+
+        context.agreed_s = await cluster.wait_for(agreed, 120)
+
+    run(context, scenario)
+
+
+@then("{limit_s:d} s after the last fault every host agrees with every other")
+def then_agreed(context, limit_s):
+    assert context.agreed_s <= limit_s, context.agreed_s
