--- a/tests/peers.feature
+++ b/tests/peers.feature
@@ -12,6 +12,8 @@
     Given two hosts with TCP streams
     When a recorded stream is replayed, and garbage and a forged frame are sent
     Then no message of the outsider arrived and three streams were refused
+    When a frame is repeated on its own stream, and frames for one host go to another
+    Then only the first of the repeated frames arrived
 
   Scenario: Keys are rotated without a lost message
     # Guards against hosts that accept only the key they sign with.
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -1,9 +1,11 @@
 """Steps for messages between hosts."""
 
 import asyncio
+import socket
 from dataclasses import replace
 from unittest.mock import patch
 
+import msgpack
 from behave import given, then, when
 from tornado.iostream import IOStream
 
@@ -14,7 +16,7 @@
 from wisteriatiller.messages import Message, encode, message
 from wisteriatiller.metrics import NullMetrics
 from wisteriatiller.outcomes import Unreachable
-from wisteriatiller.peers import TcpPeers
+from wisteriatiller.peers import TcpPeers, _Connection
 
 LOOPBACK = Address("127.0.0.1", 0)
 OLDER_KEY = b"the key before the present one"
@@ -125,6 +127,40 @@
     assert host._metrics.counters()["peers.dropped_bad_frame"] == 3
 
 
+async def connect_as(address, claimed):
+    """Connect to ``address`` as a host that believes it to be ``claimed``."""
+    stream = IOStream(socket.socket())
+    await stream.connect(address)
+    nonce = await stream.read_bytes(16)
+    connection = _Connection((PEER_KEY,), stream, nonce, claimed)
+    connection.pack(b"")
+    return connection
+
+
+@when("a frame is repeated on its own stream, and frames for one host go to another")
+def when_repeated(context):
+    async def scenario():
+        second = await start_tcp_peers(tcp_settings("b"), {})
+        connection = await connect_as(second.address, second.address)
+        connection.pack(msgpack.packb(["a", 0, 0, encode(Echo(1))]))
+        await connection.stream.write(b"".join(connection._parts))
+        await connection.stream.write(b"".join(connection._parts[-2:]))
+        relayed = await connect_as(second.address, Address("127.0.0.1", 1))
+        await relayed.write([msgpack.packb(["a", 0, 0, encode(Echo(2))])])
+        await asyncio.sleep(0.1)
+        await second.close()
+        return second
+
+    context.refusing_host = asyncio.run(scenario())
+
+
+@then("only the first of the repeated frames arrived")
+def then_first_only(context):
+    host = context.refusing_host
+    assert host.received == [1], host.received
+    assert host._metrics.counters()["peers.dropped_bad_frame"] == 2
+
+
 @when("the second host restarts on the same address between two calls")
 def when_restarted(context):
     async def scenario():
