--- a/tests/peers.feature
+++ b/tests/peers.feature
@@ -12,6 +12,8 @@
     Given two hosts with TCP streams
     When a recorded stream is replayed, and garbage and a forged frame are sent
     Then no message of the outsider arrived and three streams were refused
+    When a frame is repeated on its own stream, and frames for one host go to another
+    Then only the first of the repeated frames arrived
 
   Scenario: Keys are rotated without a lost message
     # Guards against hosts that accept only the key they sign with.
@@ -36,3 +38,9 @@
     # Guards against a reader that stops after its limit for one wake-up.
     When 300 datagrams are sent through a UDP socket in one burst
     Then all 300 datagrams of the burst arrived in order
+
+  Scenario: A stream that is not used is closed and opened again when needed
+    # Guards against streams and tasks that pile up, and a frame lost by the closing.
+    Given two hosts with TCP streams
+    When a call over the streams is repeated after the idle limit
+    Then the stream was closed in between and both calls got a reply
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -1,8 +1,11 @@
 """Steps for messages between hosts."""
 
 import asyncio
+import socket
 from dataclasses import replace
+from unittest.mock import patch
 
+import msgpack
 from behave import given, then, when
 from tornado.iostream import IOStream
 
@@ -13,7 +16,7 @@
 from wisteriatiller.messages import Message, encode, message
 from wisteriatiller.metrics import NullMetrics
 from wisteriatiller.outcomes import Unreachable
-from wisteriatiller.peers import TcpPeers
+from wisteriatiller.peers import TcpPeers, _Connection
 
 LOOPBACK = Address("127.0.0.1", 0)
 OLDER_KEY = b"the key before the present one"
@@ -124,6 +127,40 @@
     assert host._metrics.counters()["peers.dropped_bad_frame"] == 3
 
 
+async def connect_as(address, claimed):
+    """Connect to ``address`` as a host that believes it to be ``claimed``."""
+    stream = IOStream(socket.socket())
+    await stream.connect(address)
+    nonce = await stream.read_bytes(16)
+    connection = _Connection((PEER_KEY,), stream, nonce, claimed)
+    connection.pack(b"")
+    return connection
+
+
+@when("a frame is repeated on its own stream, and frames for one host go to another")
+def when_repeated(context):
+    async def scenario():
+        second = await start_tcp_peers(tcp_settings("b"), {})
+        connection = await connect_as(second.address, second.address)
+        connection.pack(msgpack.packb(["a", 0, 0, encode(Echo(1))]))
+        await connection.stream.write(b"".join(connection._parts))
+        await connection.stream.write(b"".join(connection._parts[-2:]))
+        relayed = await connect_as(second.address, Address("127.0.0.1", 1))
+        await relayed.write([msgpack.packb(["a", 0, 0, encode(Echo(2))])])
+        await asyncio.sleep(0.1)
+        await second.close()
+        return second
+
+    context.refusing_host = asyncio.run(scenario())
+
+
+@then("only the first of the repeated frames arrived")
+def then_first_only(context):
+    host = context.refusing_host
+    assert host.received == [1], host.received
+    assert host._metrics.counters()["peers.dropped_bad_frame"] == 2
+
+
 @when("the second host restarts on the same address between two calls")
 def when_restarted(context):
     async def scenario():
@@ -225,3 +262,28 @@
 @then("all {count:d} datagrams of the burst arrived in order")
 def then_burst_arrived(context, count):
     assert context.burst == [str(number).encode() for number in range(count)]
+
+
+@when("a call over the streams is repeated after the idle limit")
+def when_idle(context):
+    async def scenario():
+        addresses = {}
+        first = await start_tcp_peers(tcp_settings("a"), addresses)
+        second = await start_tcp_peers(tcp_settings("b"), addresses)
+        replies = [await first.call("b", Echo(1), 5.0)]
+        open_streams = [len(first._outgoing), len(second._accepted)]
+        await asyncio.sleep(0.5)
+        open_streams += [len(first._outgoing), len(second._accepted)]
+        replies.append(await first.call("b", Echo(2), 5.0))
+        await first.close()
+        await second.close()
+        return replies, open_streams
+
+    with patch("wisteriatiller.peers.IDLE_CLOSE_S", 0.2):
+        context.peer_replies, context.open_streams = asyncio.run(scenario())
+
+
+@then("the stream was closed in between and both calls got a reply")
+def then_closed_between(context):
+    assert context.peer_replies == [Echo(1), Echo(2)]
+    assert context.open_streams == [1, 1, 0, 0], context.open_streams
