--- a/src/wisteriatiller/cli.py
+++ b/src/wisteriatiller/cli.py
@@ -211,6 +211,7 @@
             )
         else:
             complain(f"store not available: {outcome.detail}")
+            complain("the hosts go on with the configuration that they have")
             if outcome.may_have_written:
                 complain(
                     "the submission may have been accepted; to find out, repeat it "
--- a/tests/cli.feature
+++ b/tests/cli.feature
@@ -65,6 +65,23 @@
     When the command "submit FILE --store http://127.0.0.1:9 --store URL" runs
     Then the command ends with 0 and says "revision 1 in force on all 2 live hosts"
 
+  Scenario Outline: A store that answers nonsense counts as unavailable
+    # Guards against an exception in a host's task because of the store's answer.
+    When the store adapter reads and writes while the store answers <answer>
+    Then the store adapter reported the store as unavailable each time
+
+    Examples:
+      | answer                                       |
+      | HTTP/1.1 500 Error                           |
+      | HTTP/1.1 301 Moved                           |
+      | HTTP/1.1 200 OK,nonsense                     |
+      | HTTP/1.1 200 OK,[]                           |
+      | HTTP/1.1 200 OK,[{"Value": "%"}]             |
+      | HTTP/1.1 200 OK,[{"Value": 7, "ModifyIndex": 7}] |
+      | HTTP/1.1 200 OK,{"Value": null}              |
+      | nothing of HTTP                              |
+      | HTTP/1.1 200 OK,[[[[[[                       |
+
   Scenario: The report adds up the hosts and names the silent one
     # Guards against a report that takes a missing host for a host without failures.
     Given a command-line system of 3 hosts, the last one live and stopped
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -25,6 +25,7 @@
 from wisteriatiller.ids import Address, HostId, ServiceId, UpstreamId
 from wisteriatiller.logs import event_line
 from wisteriatiller.membership import StaticMembership
+from wisteriatiller.outcomes import StoreUnavailable
 from wisteriatiller.ports import LoopClock
 from wisteriatiller.report import (
     LONG_WINDOW_S,
@@ -159,6 +160,33 @@
     context.output = output.getvalue()
 
 
+@when("the store adapter reads and writes while the store answers {answer}")
+def when_nonsense(context, answer):
+    head, _, body = answer.partition(",")
+    reply = f"{head}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(reply)
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(respond, STORE.ip, STORE.port)
+        store = ConsulStore((f"http://{STORE}",))
+        context.answers = [await store.get("key"), await store.get("key", 1, 0.1)]
+        context.answers.append(await store.compare_and_swap("key", b"value", 0))
+        store.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+@then("the store adapter reported the store as unavailable each time")
+def then_always_unavailable(context):
+    for answer in context.answers:
+        assert isinstance(answer, StoreUnavailable), context.answers
+
+
 @then('the command ends with {status:d} and says "{message}"')
 def then_command_ended(context, status, message):
     assert context.exit_status == status, (context.exit_status, context.output)
--- a/tools/smoke_binary.py
+++ b/tools/smoke_binary.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from pathlib import Path
 
 from .build_binary import build
@@ -38,6 +39,49 @@
 """
 
 
+# A host that is alone on addresses of its own, with a store that does not answer.
+SETTINGS = {
+    "host_id": "smoke-1",
+    "zone": "smoke",
+    "fabric_listen": "127.77.5.1:6000",
+    "upstream_listen": "127.77.5.1:6001",
+    "peer_listen": "127.77.5.1:6002",
+    "admin_listen": "127.77.5.1:6003",
+    "fabric_return": ["127.77.5.2:7000"],
+    "seeds": [],
+    "store_urls": ["http://127.77.5.2:8500"],
+    "peer_keys": ["5a" * 32],
+}
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 30.0
+
+
+def serve(binary: Path, directory: Path) -> subprocess.CompletedProcess:
+    """Start a host, end it with SIGTERM once it is ready, and return its result."""
+    command = [sys.executable, "-I", "-S", str(binary), "serve"]
+    command += ["--settings", "settings.json"]
+    process = subprocess.Popen(
+        command, cwd=directory, stderr=subprocess.PIPE, text=True
+    )
+    # A host that hangs before it is ready would otherwise block the reads below.
+    watchdog = threading.Timer(READY_TIMEOUT_S, process.kill)
+    watchdog.start()
+    lines = []
+    for line in process.stderr:
+        lines.append(line)
+        if "event=host_ready" in line:
+            break
+    watchdog.cancel()
+    process.terminate()
+    try:
+        rest = process.communicate(timeout=STOP_TIMEOUT_S)[1]
+    except subprocess.TimeoutExpired:
+        process.kill()
+        rest = process.communicate()[1]
+    errors = "".join(lines) + rest
+    return subprocess.CompletedProcess(command, process.returncode, "", errors)
+
+
 def run(arguments: list[str], directory: Path) -> subprocess.CompletedProcess:
     # -I and -S leave out the environment's variables and installed libraries.
     command = [sys.executable, "-I", "-S", *arguments]
@@ -57,6 +101,7 @@
     binary = build(directory / "wisteriatiller")
     (directory / "good.json").write_text(GOOD_TEXT)
     (directory / "bad.json").write_text(BAD_TEXT)
+    (directory / "settings.json").write_text(json.dumps(SETTINGS))
     before = sorted(directory.iterdir())
     passed = []
 
@@ -70,6 +115,10 @@
     result = run([str(binary), "serve", "--settings", "bad.json"], directory)
     passed.append(check(result.returncode == 2, "bad_settings", result))
 
+    result = serve(binary, directory)
+    served = result.returncode == 0 and "event=host_stopped" in result.stderr
+    passed.append(check(served, "serve", result))
+
     result = run(["-c", PROBE, str(binary)], directory)
     files = json.loads(result.stdout) if result.returncode == 0 else [""]
     in_memory = all(file.startswith("/proc/self/fd/") for file in files[:2])
