--- a/src/wisteriatiller/cli.py
+++ b/src/wisteriatiller/cli.py
@@ -20,7 +20,8 @@
 from . import __version__
 from .admin import AdminClient
 from .config import Configuration
-from .configstore import Submitted, new_submission_id, submit
+from .configrecord import RecordInvalid
+from .configstore import Submitted, new_submission_id, read_record, submit
 from .configtext import load_text
 from .exceptions import SettingsError
 from .fleet import Progress, find_hosts, running_revision, wait_in_force
@@ -207,7 +208,7 @@
         elif isinstance(outcome, Conflict):
             complain(
                 f"revision {outcome.winning_revision} of another submission is in the "
-                "store; look at it, edit the text and submit it again"
+                "store; see it with status --text, edit it and submit it again"
             )
         else:
             complain(f"store not available: {outcome.detail}")
@@ -244,11 +245,33 @@
 class Status(Command):
     name = "status"
     description = "Show the hosts and the revision that each runs"
-    options = [_STORE_OPTION, _SETTINGS_OPTION, _HOST_OPTION, _JSON_OPTION]
+    options = [
+        _STORE_OPTION,
+        _SETTINGS_OPTION,
+        _HOST_OPTION,
+        _JSON_OPTION,
+        option("text", None, "Write the text in the store, to edit it", flag=True),
+    ]
 
     def handle(self) -> int:
+        if self.option("text"):
+            return asyncio.run(self._show_text(store_urls(self)))
         return asyncio.run(ask_hosts(self, "/status", self._show))
 
+    async def _show_text(self, urls: tuple[str, ...]) -> int:
+        store = ConsulStore(urls)
+        try:
+            read = await read_record(store)
+        finally:
+            store.close()
+        if isinstance(read, StoreUnavailable | RecordInvalid):
+            complain(f"store not available: {read.detail}")
+            return INCOMPLETE
+        record = read[0]
+        sys.stdout.write(record.configuration.text)
+        complain(f"revision {record.revision}")
+        return DONE
+
     def _show(self, hosts: Sequence[PlatformHost], answers: dict) -> int:
         silent = [h for h, answer in answers.items() if isinstance(answer, Unreachable)]
         if self.option("json"):
--- a/tests/cli.feature
+++ b/tests/cli.feature
@@ -56,6 +56,8 @@
     And an operator's text with 3 upstreams
     And the command "submit FILE --store URL --edited 0" runs
     Then the command ends with 2 and says "revision 1 of another submission"
+    When the command "status --text --store URL" runs
+    Then the command ends with 0 and says "10.20.0.2:7001"
 
   Scenario: Lost answers and an unreachable first URL do not stop a submission
     # Guards against an adapter that gives up at the first failure, or writes twice.
