--- a/tests/configstore.feature
+++ b/tests/configstore.feature
@@ -104,6 +104,12 @@
     When the first host has revision 1 and the second catches up
     Then the second host runs revision 1 without the store
 
+  Scenario: A late answer of a peer with an older revision is dropped
+    # Guards against a revision that goes down when two sources answer at once.
+    Given 1 zones of 2 hosts without running followers
+    When the second host gets revision 2 while it waits for revision 1 of the first
+    Then the second host still runs revision 2
+
   Scenario Outline: A change that could give an upstream two owners is refused
     # Guards against two hosts with valid leases that dispatch to the same upstream.
     Given 1 zones of 1 hosts that follow the configuration
--- a/tests/steps/configstore_steps.py
+++ b/tests/steps/configstore_steps.py
@@ -324,6 +324,36 @@
     act(context, lambda fleet: fleet.submit(document))
 
 
+def take_text(follower, former, count):
+    configuration = load_text(configurations.text(count), "text")
+    record = next_record(former, configuration, new_submission_id())
+    follower._take(record, encode_record(record), "test")
+    return record
+
+
+@when("the second host gets revision 2 while it waits for revision 1 of the first")
+def when_overtaken(context):
+    async def scenario():
+        fleet = Fleet(*context.fleet_size)
+        for host_id, zone in fleet.names:
+            fleet.start(host_id, zone, run=False)
+        first, second = fleet.followers.values()
+        record = take_text(first, NO_RECORD, 2)
+        waiting = asyncio.create_task(second.catch_up(HostId("0-0"), Revision(1), 1.0))
+        # The question is on its way when the newer revision comes.
+        await asyncio.sleep(0)
+        take_text(second, record, 3)
+        assert await waiting
+        context.second_revision = second.configuration.revision
+
+    run_virtual(scenario())
+
+
+@then("the second host still runs revision 2")
+def then_still_newer(context):
+    assert context.second_revision == 2
+
+
 @when("the first host has revision 1 and the second catches up")
 def when_catches_up(context):
     async def scenario():
@@ -331,9 +361,7 @@
         for host_id, zone in fleet.names:
             fleet.start(host_id, zone, run=False)
         first, second = fleet.followers.values()
-        configuration = load_text(configurations.text(), "text")
-        record = next_record(NO_RECORD, configuration, new_submission_id())
-        first._take(record, encode_record(record), "test")
+        take_text(first, NO_RECORD, 2)
         context.caught_up = await second.catch_up(HostId("0-0"), Revision(1), 1.0)
         context.missed = await second.catch_up(HostId("0-0"), Revision(2), 1.0)
         context.second_revision = second.configuration.revision
