--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -8,9 +8,12 @@
 import subprocess
 import sys
 import tempfile
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
+PARALLEL_FEATURES = 4
+FEATURE_TIMEOUT_S = 900
 
 
 def run_command(name: str, command: list[str]) -> bool:
@@ -34,25 +37,49 @@
     return results.count(True), results.count(False)
 
 
-def run_features() -> tuple[int, int]:
-    """Count the scenarios of the behave features."""
+def run_feature(feature: Path) -> tuple[int, int]:
+    """Count the scenarios of one feature, run in a process of its own."""
     with tempfile.TemporaryDirectory() as directory:
         report = Path(directory) / "behave.json"
         command = [sys.executable, "-m", "behave", "-f", "json"]
-        command += ["-o", str(report), "-f", "progress", "tests"]
-        status = subprocess.run(command, cwd=ROOT).returncode
-        features = json.loads(report.read_text()) if report.exists() else []
-    scenarios = [
-        element
+        command += ["-o", str(report), "-f", "progress", str(feature)]
+        try:
+            result = subprocess.run(
+                command,
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=FEATURE_TIMEOUT_S,
+            )
+        except subprocess.TimeoutExpired:
+            print(f"feature={feature.name} timeout_s={FEATURE_TIMEOUT_S}", flush=True)
+            return 0, 1
+        passed, failed = count_scenarios(report)
+    if result.returncode != 0:
+        failed = max(failed, 1)
+        print(result.stdout[-8000:], result.stderr[-2000:], sep="\n", flush=True)
+    print(f"feature={feature.name} passed={passed} failed={failed}", flush=True)
+    return passed, failed
+
+
+def count_scenarios(report: Path) -> tuple[int, int]:
+    features = json.loads(report.read_text() or "[]") if report.exists() else []
+    statuses = [
+        element["status"]
         for feature in features
         for element in feature.get("elements", ())
         if element["type"] == "scenario"
     ]
-    passed = sum(scenario["status"] == "passed" for scenario in scenarios)
-    failed = len(scenarios) - passed
-    if status != 0 and failed == 0:
-        failed = 1
-    return passed, failed
+    passed = statuses.count("passed")
+    return passed, len(statuses) - passed
+
+
+def run_features() -> tuple[int, int]:
+    """Run the features side by side; each has its own virtual time or addresses."""
+    features = sorted((ROOT / "tests").glob("*.feature"))
+    with ThreadPoolExecutor(PARALLEL_FEATURES) as executor:
+        counts = list(executor.map(run_feature, features))
+    return sum(count[0] for count in counts), sum(count[1] for count in counts)
 
 
 def main() -> int:
