Note at the grantors which host backs up an owner's records

A successor then knows whether it has all records of the former holder, also if that holder changed its backup while the successor was cut off.

--- a/src/wisteriatiller/grantors.py
+++ b/src/wisteriatiller/grantors.py
@@ -15,7 +15,8 @@
 
     ``highest_epoch`` is the highest epoch granted. ``held_epoch`` is the highest one
     that its holder was granted by a majority; a candidate that failed leaves only
-    the former behind.
+    the former behind. ``backup`` has all records of that holder; the highest
+    ``generation`` is the latest backup.
     """
 
     holder: HostId = HostId("")
@@ -24,6 +25,8 @@
     highest_epoch: int = 0
     held_epoch: int = 0
     held_by: HostId = HostId("")
+    generation: int = 0
+    backup: HostId = HostId("")
     released: dict[HostId, int] = field(default_factory=dict)
 
 
@@ -57,8 +60,7 @@
         if view is None or view.revision < request.revision:
             self._views.learn_from(sender)
         answers = tuple(
-            self._answer(sender, index, epoch, held, is_current)
-            for index, epoch, held in request.requests
+            self._answer(sender, is_current, *item) for item in request.requests
         )
         is_newer = view is not None and view.revision > request.revision
         return LeaseReply(
@@ -68,21 +70,39 @@
             answers,
         )
 
-    def _answer(self, holder: HostId, index: int, epoch: int, held: bool, is_current):
+    def _answer(
+        self,
+        holder: HostId,
+        is_current: bool,
+        index: int,
+        epoch: int,
+        held: bool,
+        generation: int,
+        backup: HostId,
+    ) -> tuple:
         grant = self._grants.get(index)
         if grant is None:
             grant = self._grants[index] = Grant()
-        before = (grant.highest_epoch, grant.held_epoch, grant.held_by)
+        before = (
+            grant.highest_epoch,
+            grant.held_epoch,
+            grant.held_by,
+            grant.generation,
+            grant.backup,
+        )
         granted = False
         if is_current and self.is_abstaining:
-            # Epochs that this grantor forgot come back with the renewals.
-            if held and epoch > grant.held_epoch:
-                self._note_held(grant, holder, epoch)
+            # What this grantor forgot comes back with the renewals.
+            if held and (
+                epoch > grant.held_epoch
+                or (epoch == grant.held_epoch and holder == grant.held_by)
+            ):
+                self._note_held(grant, holder, epoch, generation, backup)
         elif is_current and self._may_grant(grant, holder, epoch, held):
             granted = True
             self._give(grant, holder, epoch)
             if held:
-                self._note_held(grant, holder, epoch)
+                self._note_held(grant, holder, epoch, generation, backup)
         return (index, granted, *before)
 
     def _may_grant(self, grant: Grant, holder: HostId, epoch: int, held: bool) -> bool:
@@ -113,7 +133,14 @@
         grant.expires_s = now_s + LEASE_S
         grant.highest_epoch = max(grant.highest_epoch, epoch)
 
-    def _note_held(self, grant: Grant, holder: HostId, epoch: int) -> None:
+    def _note_held(
+        self,
+        grant: Grant,
+        holder: HostId,
+        epoch: int,
+        generation: int,
+        backup: HostId,
+    ) -> None:
         check_invariant(
             epoch > grant.held_epoch
             or (epoch == grant.held_epoch and grant.held_by == holder),
@@ -122,6 +149,9 @@
             epoch=epoch,
             held_epoch=grant.held_epoch,
         )
+        if epoch > grant.held_epoch or generation > grant.generation:
+            grant.generation = generation
+            grant.backup = backup
         grant.held_epoch = epoch
         grant.held_by = holder
         grant.highest_epoch = max(grant.highest_epoch, epoch)
--- a/src/wisteriatiller/grantorviews.py
+++ b/src/wisteriatiller/grantorviews.py
@@ -15,7 +15,7 @@
 
 from .environment import Environment
 from .exceptions import check_invariant
-from .ids import HostId, ZoneId
+from .ids import Address, HostId
 from .leasemessages import (
     AskIncarnation,
     AskView,
@@ -27,14 +27,14 @@
 from .membership import Membership
 from .outcomes import StoreUnavailable
 from .placement import rank_hosts
-from .ports import StoreEntry, StoreMissing
+from .platformhosts import PlatformHost, read_platform_hosts
+from .ports import StoreEntry
 from .tasks import spawn
 
 LEASE_S = 3.0
 # Clocks of two hosts may differ in rate by this much over one lease.
 DRIFT_MARGIN_S = 0.3
 MAX_GRANTORS = 5
-HOSTS_KEY = "platform/hosts"
 # Two hosts of a zone keep the view up to date, which is 2 store reads a second for
 # a zone. A host that does not know the view yet asks more often.
 MAINTAINERS = 2
@@ -45,6 +45,7 @@
 FOUNDING_WAIT_S = 5.0
 CALL_TIMEOUT_S = 0.4
 PEERS_ASKED = 3
+NO_ADDRESS = Address("", 0)
 
 
 @dataclass(frozen=True)
@@ -106,32 +107,6 @@
     return view if view.members else None
 
 
-@dataclass(frozen=True, slots=True)
-class ListedHost:
-    """A host of the platform's list."""
-
-    host_id: HostId
-    zone: ZoneId
-    leaving: bool
-
-
-def read_hosts(value: bytes) -> list[ListedHost]:
-    """Read the platform's list, leaving out entries that are not valid."""
-    try:
-        entries = json.loads(value)
-    except ValueError:
-        return []
-    return [
-        ListedHost(
-            HostId(entry["host_id"]),
-            ZoneId(entry["zone"]),
-            entry.get("state") == "leaving",
-        )
-        for entry in entries
-        if isinstance(entry, dict) and "host_id" in entry and "zone" in entry
-    ]
-
-
 class GrantorViews:
     """The view of this host's zone, and its upkeep."""
 
@@ -282,7 +257,7 @@
 
     async def _maintain(self) -> None:
         store = self._environment.store
-        listed = await store.get(HOSTS_KEY)
+        listed = await read_platform_hosts(store)
         entry = await store.get(self._key)
         if isinstance(listed, StoreUnavailable) or isinstance(entry, StoreUnavailable):
             return
@@ -304,15 +279,14 @@
         else:
             await self._change(self.view, hosts, index)
 
-    def _hosts_of_zone(self, listed: StoreEntry | StoreMissing) -> list[ListedHost]:
-        if isinstance(listed, StoreEntry):
-            hosts = read_hosts(listed.value)
-        else:
+    def _hosts_of_zone(self, listed: tuple[PlatformHost, ...]) -> list[PlatformHost]:
+        if not listed:
+            # Without a list, the hosts that answer probes are taken for it.
             live = self._membership.live_hosts(self._zone)
-            hosts = [ListedHost(host_id, self._zone, False) for host_id in live]
-        return [host for host in hosts if host.zone == self._zone]
+            listed = tuple(PlatformHost(h, self._zone, NO_ADDRESS) for h in live)
+        return [host for host in listed if host.zone == self._zone]
 
-    def _note_unlisted(self, hosts: list[ListedHost]) -> None:
+    def _note_unlisted(self, hosts: list[PlatformHost]) -> None:
         named = {host.host_id for host in hosts}
         known = self.view.everyone if self.view else ()
         now_s = self._now_s()
@@ -322,7 +296,7 @@
             if host_id not in named
         }
 
-    async def _found(self, hosts: list[ListedHost], index: int) -> None:
+    async def _found(self, hosts: list[PlatformHost], index: int) -> None:
         """Write the first view of the zone."""
         staying = [host.host_id for host in hosts if not host.leaving]
         ranked = rank_hosts(self._key, staying)
@@ -348,7 +322,7 @@
             await self._write(view, index)
 
     async def _change(
-        self, view: GrantorView, hosts: list[ListedHost], index: int
+        self, view: GrantorView, hosts: list[PlatformHost], index: int
     ) -> None:
         """Start a transition if a member has to go, or more can be had."""
         staying = {host.host_id for host in hosts if not host.leaving}
--- a/src/wisteriatiller/lease.py
+++ b/src/wisteriatiller/lease.py
@@ -86,12 +86,15 @@
     """Who held a lease before, as a majority of grantors remembers it.
 
     The majority kept its records without a gap for ``remembered_s``, so no other
-    host held the lease in that time. ``never_held`` says that the zone's grantors
-    remember every lease since the first view, and this one was never held.
+    host held the lease in that time. ``backup`` is the host that the holder last
+    named as having all its records, empty if none. ``never_held`` says that the
+    zone's grantors remember every lease since the first view, and this one was never
+    held.
     """
 
     epoch: int
     holder: HostId
+    backup: HostId
     remembered_s: float
     never_held: bool
 
@@ -101,6 +104,11 @@
     epoch: int
     expires_s: float
     former: FormerHolder
+    generation: int = 0
+    backup: HostId = HostId("")
+
+    def renewal(self, shard: ShardId) -> tuple:
+        return (shard, self.epoch, True, self.generation, self.backup)
 
 
 @dataclass(slots=True)
@@ -145,7 +153,9 @@
 
     def former(self, index: int) -> FormerHolder:
         answers = self._answers[index]
-        epoch, holder = max(answer[2:4] for answer in answers.values())
+        epoch, holder, generation, backup = max(
+            (answer[2:6] for answer in answers.values()), key=lambda held: held[::2]
+        )
         # During a transition, only the former members know the leases before it.
         witnesses = set(self.view.former or self.view.members)
         replies = [
@@ -156,6 +166,7 @@
         return FormerHolder(
             epoch,
             HostId(holder),
+            HostId(backup),
             min(reply.remembers_ms for reply in replies) / 1000,
             epoch == 0 and all(reply.founder for reply in replies),
         )
@@ -191,7 +202,6 @@
         self._fallback_at_s = environment.clock.now_s() + FALLBACK_S
         self._fallbacks = 0
         self._seeking: set[ShardId] = set()
-        self._releasing: set[ShardId] = set()
 
     @property
     def held(self) -> tuple[ShardId, ...]:
@@ -223,15 +233,49 @@
         await asyncio.gather(self._run_renewals(), self._run_candidacy())
 
     async def release(self, shard):
+        epoch = self.give_up(shard)
+        if epoch:
+            await self.release_at_grantors(shard, epoch)
+
+    def give_up(self, shard: ShardId) -> int:
+        """Stop holding a lease on this host only; returns its epoch, 0 if not held.
+
+        The lease is not sought again before the grantors' grants ran out.
+        """
         lease = self._held.get(shard)
         if lease is None:
-            return
-        self._releasing.add(shard)
+            return 0
+        self._backoffs[shard] = _Backoff(next_s=self._now_s() + LEASE_S)
         self._drop(shard)
-        try:
-            await self._release_at_grantors([(shard, lease.epoch)])
-        finally:
-            self._releasing.discard(shard)
+        return lease.epoch
+
+    async def release_at_grantors(self, shard: ShardId, epoch: int) -> None:
+        """Tell the grantors that a lease was given up."""
+        await self._release_at_grantors([(shard, epoch)])
+
+    async def register_backup(self, shard: ShardId, backup: HostId) -> bool:
+        """Have a majority of grantors note which host has all records of the shard.
+
+        A successor that is not the host noted last knows that its records are
+        incomplete. Until this returns True, a grantor may know the former backup or
+        the new one, so records must go to both.
+        """
+        lease = self._held.get(shard)
+        if lease is None or self.remaining_s(shard) <= 0:
+            return False
+        lease.generation += 1
+        lease.backup = backup
+        generation = lease.generation
+        outcome = await self._ask([lease.renewal(shard)])
+        if (
+            outcome is None
+            or self._held.get(shard) is not lease
+            or lease.generation != generation
+            or not outcome.is_granted(shard.index)
+        ):
+            return False
+        self._extend(shard, lease, outcome)
+        return self.remaining_s(shard) > 0
 
     def drop_all(self) -> None:
         """Stop holding every lease at once, without telling the grantors.
@@ -266,20 +310,17 @@
 
     async def _renew(self) -> bool:
         """Renew all held leases in one round; False if any was not renewed."""
-        epochs = {
-            shard: lease.epoch
-            for shard, lease in self._held.items()
-            if self.remaining_s(shard) > 0
+        leases = {
+            s: lease for s, lease in self._held.items() if self.remaining_s(s) > 0
         }
-        requests = [(shard, epoch, True) for shard, epoch in epochs.items()]
+        requests = [lease.renewal(shard) for shard, lease in leases.items()]
         outcome = await self._ask(requests)
         self._drop_expired()
         if outcome is None:
             return False
         is_complete = True
-        for shard, epoch in epochs.items():
-            lease = self._held.get(shard)
-            if lease is None or lease.epoch != epoch:
+        for shard, lease in leases.items():
+            if self._held.get(shard) is not lease:
                 continue
             if outcome.is_granted(shard.index):
                 self._extend(shard, lease, outcome)
@@ -324,7 +365,7 @@
         return [shard for shard in shards if shard not in self._held]
 
     def _should_seek(self, shard: ShardId, now_s: float, fallback: int) -> bool:
-        if self.is_leaving or shard in self._releasing:
+        if self.is_leaving:
             return False
         backoff = self._backoffs.get(shard)
         if backoff is not None and now_s < backoff.next_s:
@@ -374,7 +415,7 @@
     async def _try_acquire(self, shards: list[ShardId]) -> list[ShardId]:
         """One attempt; returns the shards to try again at once with a higher epoch."""
         epochs = {shard: self._next_epoch(shard) for shard in shards}
-        first = await self._ask([(shard, epochs[shard], False) for shard in shards])
+        first = await self._ask([(s, epochs[s], False, 0, "") for s in shards])
         if first is None:
             self._fail(epochs, shards)
             return []
@@ -385,7 +426,9 @@
             self._highest[shard] = max(highest, self._highest.get(shard, 0))
             if shard not in won and highest >= epochs[shard]:
                 behind.append(shard)
-        second = await self._ask([(s, epochs[s], True) for s in won]) if won else None
+        second = None
+        if won:
+            second = await self._ask([(s, epochs[s], True, 0, "") for s in won])
         now_s = self._now_s()
         kept = [
             shard
@@ -396,7 +439,6 @@
             # another host may have held the lease in between.
             and second.sent_s < _expiry_s(first)
             and now_s < _expiry_s(second)
-            and shard not in self._releasing
         ]
         for shard in kept:
             self._hold(shard, epochs[shard], first, second)
@@ -466,7 +508,7 @@
 
     # Rounds
 
-    async def _ask(self, requests: list[tuple[ShardId, int, bool]]) -> _Round | None:
+    async def _ask(self, requests: list[tuple]) -> _Round | None:
         """Send one message to each grantor; return once nothing more can change."""
         view = self._views.view
         if view is None:
@@ -476,7 +518,7 @@
             self._zone,
             view.revision,
             view.fingerprint,
-            tuple((shard.index, epoch, held) for shard, epoch, held in requests),
+            tuple((shard.index, *rest) for shard, *rest in requests),
         )
         peers = self._environment.peers
         pending = {
@@ -485,7 +527,7 @@
             )
             for host_id in view.everyone
         }
-        indexes = [shard.index for shard, _, _ in requests]
+        indexes = [shard.index for shard, *_ in requests]
         try:
             while pending and not self._is_over(outcome, indexes):
                 done, _ = await asyncio.wait(
--- a/src/wisteriatiller/leasemessages.py
+++ b/src/wisteriatiller/leasemessages.py
@@ -7,9 +7,11 @@
 class LeaseRequest(Message):
     """Asks a grantor for several ownership shards of its zone at once.
 
-    Each of ``requests`` is ``(shard index, epoch, held)``; ``held`` says that the
-    sender was granted this epoch by a majority before. ``revision`` and
-    ``fingerprint`` name the view of grantors under which the sender counts grants.
+    Each of ``requests`` is ``(shard index, epoch, held, generation, backup)``;
+    ``held`` says that the sender was granted this epoch by a majority before, and
+    ``backup`` is the host that has all its records, with a number that rises with
+    each change of it. ``revision`` and ``fingerprint`` name the view of grantors
+    under which the sender counts grants.
     """
 
     zone: str
@@ -23,10 +25,10 @@
     """A grantor's answers to a ``LeaseRequest``.
 
     Each of ``answers`` is ``(shard index, granted, highest epoch, held epoch, held
-    by)``, with the state before this request. ``remembers_ms`` is how long the
-    grantor has kept its records without a gap, and ``founder`` says that it kept them
-    since the first view of the zone was written. ``view`` is filled if the grantor
-    knows a newer one.
+    by, generation, backup)``, with the state before this request. ``remembers_ms`` is
+    how long the grantor has kept its records without a gap, and ``founder`` says that
+    it kept them since the first view of the zone was written. ``view`` is filled if
+    the grantor knows a newer one.
     """
 
     remembers_ms: int
--- a/tests/zone.py
+++ b/tests/zone.py
@@ -12,11 +12,12 @@
 
 from tests.fakes import FakeNetwork, FakeStore
 from wisteriatiller.grantors import LeaseGrantor
-from wisteriatiller.grantorviews import HOSTS_KEY, GrantorViews
+from wisteriatiller.grantorviews import GrantorViews
 from wisteriatiller.ids import ShardId, ZoneId
 from wisteriatiller.lease import MajorityLeases
 from wisteriatiller.membership import Membership
 from wisteriatiller.ownership import Ownership
+from wisteriatiller.platformhosts import HOSTS_KEY
 from wisteriatiller.ports import Clock, LoopClock, StoreEntry
 
 ZONE = ZoneId("brest")
@@ -233,6 +234,7 @@
             {
                 "host_id": name,
                 "zone": ZONE,
+                "admin": "127.0.0.1:1",
                 "state": "leaving" if name in leaving else "live",
             }
             for name in names
