Replicate the owners' records to a noted backup

Batches carry the present record of each changed flow and non-idempotent request. A request is dispatched once the noted backup has acknowledged its record. The noted backup seeks the lease of a silent owner first, and a restarted host waits with seeking, since the backup has the records.

--- a/src/wisteriatiller/flows.py
+++ b/src/wisteriatiller/flows.py
@@ -1,6 +1,6 @@
 """The flows that the owner of an ownership shard knows."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -38,9 +38,14 @@
 
 
 class FlowTable:
-    """Flow records of one shard, with counts of open flows for each upstream."""
+    """Flow records of one shard, with counts of open flows for each upstream.
+
+    ``on_change`` is called with the key of each record that was put, removed or
+    changed. Code that changes a record in place calls ``changed`` itself.
+    """
 
     def __init__(self):
+        self.on_change: Callable[[FlowKey], None] = lambda flow_key: None
         self._records: dict[FlowKey, FlowRecord] = {}
         self._open_counts: dict[UpstreamId, int] = {}
         self._opened: dict[UpstreamId, int] = {}
@@ -67,21 +72,29 @@
         if record.state is FlowState.OPEN:
             self._opened[record.upstream_id] = self.opened(record.upstream_id) + 1
             self._count(record.upstream_id, 1)
+        self.on_change(flow_key)
 
     def remove(self, flow_key: FlowKey) -> None:
         record = self._records.pop(flow_key, None)
-        if record is not None and record.state is FlowState.OPEN:
+        if record is None:
+            return
+        if record.state is FlowState.OPEN:
             self._count(record.upstream_id, -1)
+        self.on_change(flow_key)
+
+    def changed(self, flow_key: FlowKey) -> None:
+        self.on_change(flow_key)
 
     def lose(self, upstream_id: UpstreamId) -> int:
         """Mark the open flows of a dead upstream as lost; return their number."""
         lost = [
-            record
-            for record in self._records.values()
+            (flow_key, record)
+            for flow_key, record in self._records.items()
             if record.state is FlowState.OPEN and record.upstream_id == upstream_id
         ]
-        for record in lost:
+        for flow_key, record in lost:
             record.state = FlowState.LOST
+            self.on_change(flow_key)
         self._count(upstream_id, -len(lost))
         return len(lost)
 
--- a/src/wisteriatiller/flowservice.py
+++ b/src/wisteriatiller/flowservice.py
@@ -15,6 +15,7 @@
 )
 from .flows import FlowRecord, FlowState
 from .ids import FlowKey, HostId, UpstreamId
+from .shard import OwnedShard
 from .shardtable import ShardTable
 
 
@@ -32,7 +33,7 @@
         environment.peers.register(CheckFlows, self._handle_check)
         environment.peers.register(PlacedFlows, self._handle_placed)
 
-    def _handle_claim(self, sender: HostId, claim: ClaimFlow) -> ClaimAnswer:
+    async def _handle_claim(self, sender: HostId, claim: ClaimFlow) -> ClaimAnswer:
         owned = self._shards.of_upstream(UpstreamId(claim.earlier_home))
         flow_key = FlowKey(claim.flow_key)
         if owned is None or flow_key in owned.opening:
@@ -42,14 +43,19 @@
             now_s = self._environment.clock.now_s()
             released = FlowRecord(FlowState.RELEASED, UpstreamId(claim.new_home), now_s)
             owned.flows.put(flow_key, released)
-            return ClaimAnswer(True, "")
+            return await self._released(owned, flow_key)
         if record.state is FlowState.RELEASED:
             record.upstream_id = UpstreamId(claim.new_home)
-            return ClaimAnswer(True, "")
+            owned.flows.changed(flow_key)
+            return await self._released(owned, flow_key)
         if record.upstream_id == claim.new_home:
             return ClaimAnswer(True, "")
         return ClaimAnswer(True, record.upstream_id)
 
+    async def _released(self, owned: OwnedShard, flow_key: FlowKey) -> ClaimAnswer:
+        """Answer that a flow was released, once a successor would know it too."""
+        return ClaimAnswer(await owned.settle(flow_key), "")
+
     def _handle_open(self, sender: HostId, message: OpenFlow) -> OpenAnswer:
         upstream_id = UpstreamId(message.upstream_id)
         owned = self._shards.of_upstream(upstream_id)
--- a/src/wisteriatiller/grantorviews.py
+++ b/src/wisteriatiller/grantorviews.py
@@ -324,9 +324,14 @@
     async def _change(
         self, view: GrantorView, hosts: list[PlatformHost], index: int
     ) -> None:
-        """Start a transition if a member has to go, or more can be had."""
+        """Start a transition if a member is not listed, or more can be had.
+
+        A leaving member stays until it is off the list: most leave only to restart,
+        and each transition makes the grantors' memory count from its end.
+        """
+        named = {host.host_id for host in hosts}
         staying = {host.host_id for host in hosts if not host.leaving}
-        kept = [host_id for host_id in view.members if host_id in staying]
+        kept = [host_id for host_id in view.members if host_id in named]
         live = set(self._membership.live_hosts(self._zone))
         ranked = rank_hosts(self._key, staying & live)
         added = [host_id for host_id in ranked if host_id not in kept]
--- a/src/wisteriatiller/lease.py
+++ b/src/wisteriatiller/lease.py
@@ -38,6 +38,11 @@
 # are sought all the same after this time, later by the second in rank.
 FALLBACK_S = 5.0
 MAX_FALLBACK_RANK = 2
+# After the owner died, its backup seeks the lease first; others wait for this long.
+VACANCY_S = 2.0
+# A restarted host leaves its former shards to the backups, which have the records.
+# By then, the grants of its former process ran out.
+START_DELAY_S = 4.0
 RELEASE_TIMEOUT_S = 0.5
 EPOCH_TRIES = 3
 
@@ -167,7 +172,7 @@
             epoch,
             HostId(holder),
             HostId(backup),
-            min(reply.remembers_ms for reply in replies) / 1000,
+            min((reply.remembers_ms for reply in replies), default=0) / 1000,
             epoch == 0 and all(reply.founder for reply in replies),
         )
 
@@ -189,6 +194,7 @@
         shard_count: Callable[[], int],
     ):
         self.is_leaving = False
+        self.is_due_backup: Callable[[ShardId], bool] = lambda shard: False
         self._environment = environment
         self._host_id = environment.settings.host_id
         self._zone = environment.settings.zone
@@ -202,6 +208,7 @@
         self._fallback_at_s = environment.clock.now_s() + FALLBACK_S
         self._fallbacks = 0
         self._seeking: set[ShardId] = set()
+        self._vacant_since_s: dict[ShardId, float] = {}
 
     @property
     def held(self) -> tuple[ShardId, ...]:
@@ -370,16 +377,20 @@
         backoff = self._backoffs.get(shard)
         if backoff is not None and now_s < backoff.next_s:
             return False
-        owner = self._known_owner(shard)
-        if owner == self._host_id:
+        if self.is_due_backup(shard):
             return True
-        ranking = self._ownership.ranking(shard)[:MAX_FALLBACK_RANK]
-        if self._host_id not in ranking:
+        if now_s < self._views.started_s + START_DELAY_S:
             return False
-        rank = ranking.index(self._host_id)
-        if rank == 0 and (owner is None or not self._membership.is_live(owner)):
+        owner = self._known_owner(shard)
+        ranking = self._ownership.ranking(shard)[:MAX_FALLBACK_RANK]
+        rank = ranking.index(self._host_id) if self._host_id in ranking else None
+        if owner == self._host_id or (rank == 0 and owner is None):
             return True
-        return fallback > 0 and fallback % (rank + 1) == 0
+        if rank == 0 and not self._membership.is_live(owner):
+            vacant_since_s = self._vacant_since_s.setdefault(shard, now_s)
+            return now_s >= vacant_since_s + VACANCY_S
+        self._vacant_since_s.pop(shard, None)
+        return rank is not None and fallback > 0 and fallback % (rank + 1) == 0
 
     def _due_fallback(self, now_s: float) -> int:
         """The number of the fallback attempt that is due now; 0 if none is."""
@@ -419,13 +430,15 @@
         if first is None:
             self._fail(epochs, shards)
             return []
-        won = [shard for shard in shards if first.is_granted(shard.index)]
-        behind = []
+        won, behind = [], []
         for shard in shards:
             highest = first.highest_epoch(shard.index)
             self._highest[shard] = max(highest, self._highest.get(shard, 0))
-            if shard not in won and highest >= epochs[shard]:
+            if highest >= epochs[shard]:
+                # Restarted grantors may have granted an epoch that others remember.
                 behind.append(shard)
+            elif first.is_granted(shard.index):
+                won.append(shard)
         second = None
         if won:
             second = await self._ask([(s, epochs[s], True, 0, "") for s in won])
@@ -462,6 +475,7 @@
         self._highest[shard] = max(epoch, self._highest.get(shard, 0))
         self._held[shard] = _HeldLease(epoch, _expiry_s(second), former)
         self._backoffs.pop(shard, None)
+        self._vacant_since_s.pop(shard, None)
         self._environment.metrics.count("leases.acquired")
         logging.info("event=lease_acquired shard=%s epoch=%d", shard, epoch)
         self._ownership.publish_owner(shard, epoch)
--- a/src/wisteriatiller/owner.py
+++ b/src/wisteriatiller/owner.py
@@ -152,6 +152,7 @@
             self._place_lost(owned, forward, service)
             return
         record.told_lost = True
+        owned.flows.changed(FlowKey(forward.flow_key))
         self._environment.metrics.count("flows.lost")
         upstream = self._source.configuration.upstreams[record.upstream_id]
         dispatcher = self._shards.dispatcher(owned, upstream)
--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -22,6 +22,7 @@
 from .ownership import Ownership
 from .ports import DatagramPort
 from .pressure import DependencyPolicy
+from .replication import Replicator
 from .shardtable import ShardTable
 from .swim import SwimMembership
 from .tasks import spawn
@@ -76,6 +77,7 @@
             self.views,
             lambda: self.source.configuration.shard_count,
         )
+        self.replicator = Replicator(environment, self.ownership, self.leases)
         self.leases.on_acquired = self._lease_acquired
         self.leases.on_lost = self._lease_lost
         self.membership.on_stall(self.leases.drop_all)
@@ -116,6 +118,7 @@
         self._run(self.source.run(), "follow configuration")
         self._run(self.views.run(), "grantor views")
         self._run(self.leases.run(), "leases")
+        self._run(self.replicator.run(), "replication")
         self._run(self.upkeep.probe_upstreams(), "probe upstreams")
         self._run(self.upkeep.sweep(), "sweep")
         self._run(self.healing.run(), "zone healing")
@@ -163,11 +166,13 @@
 
     def _lease_acquired(self, shard: ShardId, epoch: int) -> None:
         owned = self.shards.add(shard)
+        self.replicator.open(owned, epoch)
         self.upkeep.probe_shard(owned)
         self.ownership.publish_owner(shard, epoch)
 
     def _lease_lost(self, shard: ShardId, epoch: int) -> None:
         self.shards.remove(shard)
+        self.replicator.close(shard)
 
     def _answer(self, flow_key: FlowKey, payload: bytes) -> None:
         self.ingress.answer(flow_key, payload)
--- a/src/wisteriatiller/shardtable.py
+++ b/src/wisteriatiller/shardtable.py
@@ -58,7 +58,7 @@
     def get(self, shard: ShardId) -> OwnedShard | None:
         """The shard, if this host holds its lease now."""
         owned = self._shards.get(shard)
-        if owned is None or owned.lease_remaining_s() <= 0:
+        if owned is None or owned.frozen or owned.lease_remaining_s() <= 0:
             return None
         return owned
 
