Hand ownership shards over on a planned stop and to better-ranked hosts

The successor becomes the noted backup, dispatch pauses until the requests in flight are answered, and the queue goes along. It counts only after the owner gave the lease up on its side, so no request can run at both hosts.

--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -253,6 +253,34 @@
         for request in list(self._retrying):
             self._retry(request)
 
+    def resume(self) -> None:
+        """Go on after ``pause``."""
+        self._paused = False
+        self.pump()
+
+    def take_open(self) -> list[Request]:
+        """Remove and return the requests without a final answer.
+
+        Only for a paused dispatcher with nothing in flight: none of them may run
+        under this owner any more.
+        """
+        check_invariant(
+            self._paused and not self._in_flight,
+            "open_requests_not_in_flight",
+            upstream=self.upstream.upstream_id,
+        )
+        requests = list(self._open.values())
+        self._open.clear()
+        while self._queue:
+            self._queue.pop()
+        return requests
+
+    def restore(self, request: Request) -> None:
+        """Queue a request that was taken here or at a former owner."""
+        request.record.state = RequestState.QUEUED
+        self._duplicates.put(request.key, request.record)
+        self._take_in(request)
+
     def _admit(self, flow_key, caller_id, head, payload) -> None:
         request = self._new_request(flow_key, caller_id, head, payload)
         self._duplicates.put(request.key, request.record)
@@ -260,8 +288,11 @@
         if refused is not None:
             self._finish_refused(request, refused)
             return
+        self._take_in(request)
+
+    def _take_in(self, request: Request) -> None:
         self._open[request.key] = request
-        if head.is_idempotent:
+        if request.head.is_idempotent:
             self._enqueue(request)
         else:
             self._gate.record_at_backup(
--- a/src/wisteriatiller/grantorviews.py
+++ b/src/wisteriatiller/grantorviews.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import secrets
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -113,7 +114,8 @@
     def __init__(self, environment: Environment, membership: Membership):
         settings = environment.settings
         self.view: GrantorView | None = None
-        self.incarnation = environment.random.getrandbits(62) + 1
+        # It must differ from that of a former process, also in runs on a fixed seed.
+        self.incarnation = secrets.randbits(62) + 1
         self.started_s = environment.clock.now_s()
         self._environment = environment
         self._membership = membership
--- a/src/wisteriatiller/replication.py
+++ b/src/wisteriatiller/replication.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -284,16 +285,18 @@
         if stream is not None:
             stream.lost()
 
-    def is_backed_up_by(self, host_id: HostId) -> bool:
-        """Whether the host has everything and is noted as the only backup."""
+    def is_noted(self, host_id: HostId) -> bool:
+        """Whether the host is the noted backup."""
         stream = self.streams.get(host_id)
-        return (
-            self.required == {host_id}
-            and stream is not None
-            and stream.synchronised
-            and not stream.dirty
-            and not stream.in_flight
-        )
+        return self.required == {host_id} and stream is not None and stream.synchronised
+
+    def has_all(self, host_id: HostId) -> bool:
+        """Whether the host is the noted backup and nothing waits to be sent to it."""
+        if not self.is_noted(host_id):
+            return False
+        self._wake(host_id, True)
+        stream = self.streams[host_id]
+        return not stream.dirty and not stream.in_flight
 
     def _advance(self, host_id: HostId) -> None:
         """Let the grantors note a synchronised host as the backup."""
@@ -334,10 +337,13 @@
         self._zone = environment.settings.zone
         self._ownership = ownership
         self._leases = leases
-        self._session = environment.random.getrandbits(62) + 1
+        # It must differ from that of a former process, also in runs on a fixed seed.
+        self._session = secrets.randbits(62) + 1
         self._replicas: dict[ShardId, ShardReplica] = {}
         self._peers: dict[HostId, _Peer] = {}
         self._passed_over_until_s: dict[HostId, float] = {}
+        # Successors of shards that are being handed over.
+        self.preferred: dict[ShardId, HostId] = {}
 
     def get(self, shard: ShardId) -> ShardReplica | None:
         return self._replicas.get(shard)
@@ -381,6 +387,8 @@
 
     def _wanted(self, shard: ShardId) -> HostId | None:
         """The best-ranked live host that answers, or the best-ranked one."""
+        if shard in self.preferred:
+            return self.preferred[shard]
         others = [h for h in self._ownership.ranking(shard) if h != self._host_id]
         now_s = self._environment.clock.now_s()
         for host_id in others:
--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -10,6 +10,7 @@
 from .flowservice import FlowService
 from .grantors import LeaseGrantor
 from .grantorviews import GrantorViews
+from .handover import Handover
 from .healing import ZoneHealing
 from .homes import Homes
 from .ids import Address, FlowKey, ShardId
@@ -56,6 +57,9 @@
         self.ownership = Ownership(environment, self.membership)
         self._build_leases()
         self.shards = ShardTable(environment, self.source, self.leases, self._answer)
+        self.handover = Handover(
+            environment, self.ownership, self.leases, self.shards, self.replicator
+        )
         self.upkeep = Upkeep(environment, self.source, self.ownership, self.shards)
         self.flow_service = FlowService(environment, self.source, self.shards)
         self.loads = LoadBoard(environment, self.source, self.ownership, self.shards)
@@ -119,6 +123,7 @@
         self._run(self.views.run(), "grantor views")
         self._run(self.leases.run(), "leases")
         self._run(self.replicator.run(), "replication")
+        self._run(self.handover.run(), "hand-over")
         self._run(self.upkeep.probe_upstreams(), "probe upstreams")
         self._run(self.upkeep.sweep(), "sweep")
         self._run(self.healing.run(), "zone healing")
@@ -131,6 +136,7 @@
         """Stop gracefully: hand over, and forward until the fabric is quiet."""
         self.leases.is_leaving = True
         await self.membership.leave()
+        await self.handover.leave_all(self.environment.settings.stop_timeout_s)
         await self._fabric_quiet()
         await self.membership.stop()
 
@@ -166,9 +172,11 @@
 
     def _lease_acquired(self, shard: ShardId, epoch: int) -> None:
         owned = self.shards.add(shard)
-        self.replicator.open(owned, epoch)
+        handed_over = self.replicator.open(owned, epoch)
         self.upkeep.probe_shard(owned)
         self.ownership.publish_owner(shard, epoch)
+        for request in handed_over:
+            self.shards.restore(owned, request)
 
     def _lease_lost(self, shard: ShardId, epoch: int) -> None:
         self.shards.remove(shard)
--- a/src/wisteriatiller/shardtable.py
+++ b/src/wisteriatiller/shardtable.py
@@ -10,6 +10,7 @@
 from .ids import FlowKey, ShardId, UpstreamId
 from .lease import ShardLeases
 from .ports import DatagramPort
+from .queueing import Request
 from .shard import OwnedShard
 
 
@@ -103,6 +104,17 @@
             owned.dispatchers[upstream.upstream_id] = dispatcher
         return dispatcher
 
+    def restore(self, owned: OwnedShard, request: Request) -> None:
+        """Queue a request that a former owner of the shard handed over."""
+        upstream = self._source.configuration.upstreams.get(request.record.upstream_id)
+        if upstream is None or upstream.service_id not in (
+            self._source.configuration.services
+        ):
+            # It was never run, so a repeat may be placed anew.
+            owned.duplicates.remove(request.key)
+            return
+        self.dispatcher(owned, upstream).restore(request)
+
     def handle_response(
         self, upstream: Upstream, flow_key: FlowKey, payload: bytes
     ) -> None:
