--- a/tests/zone.py
+++ b/tests/zone.py
@@ -12,11 +12,12 @@
 
 from tests.fakes import FakeNetwork, FakeStore
 from wisteriatiller.grantors import LeaseGrantor
-from wisteriatiller.grantorviews import HOSTS_KEY, GrantorViews
+from wisteriatiller.grantorviews import GrantorViews
 from wisteriatiller.ids import ShardId, ZoneId
 from wisteriatiller.lease import MajorityLeases
 from wisteriatiller.membership import Membership
 from wisteriatiller.ownership import Ownership
+from wisteriatiller.platformhosts import HOSTS_KEY
 from wisteriatiller.ports import Clock, LoopClock, StoreEntry
 
 ZONE = ZoneId("brest")
@@ -175,6 +176,8 @@
 
     def stop(self):
         for task in self.tasks:
+            if task.done():
+                task.result()
             task.cancel()
 
 
@@ -202,9 +205,10 @@
         self.held_checks = 0
         self.violations = []
 
-    async def start(self):
-        await self.list_hosts(self.names)
-        for name in self.names:
+    async def start(self, names=None):
+        """Start all hosts, or only some that the platform lists so far."""
+        await self.list_hosts(names or self.names)
+        for name in names or self.names:
             self.boot(name)
         self.observer = asyncio.get_running_loop().create_task(self._observe())
 
@@ -233,6 +237,7 @@
             {
                 "host_id": name,
                 "zone": ZONE,
+                "admin": "127.0.0.1:1",
                 "state": "leaving" if name in leaving else "live",
             }
             for name in names
