Let the demo wait for owners and measure the balance over equal steps

Chance in the number of steps of each flow gave ratios up to 1.5 for 180 flows on three upstreams; with one step of each flow it was 1.075 or less.

--- a/testbed/caller.py
+++ b/testbed/caller.py
@@ -14,6 +14,7 @@
 import argparse
 import asyncio
 import collections
+import contextlib
 import random
 import struct
 from dataclasses import asdict, dataclass, field
@@ -43,6 +44,9 @@
 # A 5.03 with Max-Age 0 may be repeated at once; the spread keeps callers apart.
 MIN_RETRY_S = 0.05
 
+# Sessions drift apart by this share of the pause between their steps.
+THINK_SPREAD = 0.05
+
 OUTCOME_OF_CODE = {
     Code.SERVICE_UNAVAILABLE: "refused_not_run",
     Code.GATEWAY_TIMEOUT: "outcome_unknown",
@@ -376,7 +380,7 @@
 
     def __init__(self, caller: Caller):
         self.caller = caller
-        self.stopping = False
+        self._stopping = asyncio.Event()
         self.progress = collections.Counter()
         self._tasks: set[asyncio.Task] = set()
         self._number = 0
@@ -386,14 +390,14 @@
         """Start the sessions of a ``Work`` given as JSON."""
         work = Work(**body)
         if not self._tasks:
-            self.stopping = False
+            self._stopping.clear()
         task = asyncio.create_task(self._open_all(work))
         self._keep(task)
         return {"started": work.flows}
 
     def stop(self, _body=None) -> dict:
         """Let each session end after its current request."""
-        self.stopping = True
+        self._stopping.set()
         return self.status()
 
     def status(self) -> dict:
@@ -418,6 +422,15 @@
         self._number += 1
         return f"{self._run_id}-{self._number}"
 
+    @property
+    def stopping(self) -> bool:
+        return self._stopping.is_set()
+
+    async def _pause(self, pause_s: float) -> None:
+        """Sleep, but not beyond ``stop``."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._stopping.wait(), pause_s)
+
     def _keep(self, task: asyncio.Task) -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -433,7 +446,7 @@
                 asyncio.get_running_loop().time() - started_s
             )
             if behind_s > 0:
-                await asyncio.sleep(behind_s)
+                await self._pause(behind_s)
             number = first + index // work.flows_per_ip
             ip = ".".join(map(str, number.to_bytes(4, "big")))
             address = Address(ip, 20000 + index % work.flows_per_ip)
@@ -449,7 +462,8 @@
         self.progress[f"open:{work.service}"] += 1
         done = 0
         while not self.stopping and (not work.steps or done < work.steps):
-            await asyncio.sleep(work.think_s * self.caller.random.uniform(0.5, 1.5))
+            spread = self.caller.random.uniform(1 - THINK_SPREAD, 1 + THINK_SPREAD)
+            await self._pause(work.think_s * spread)
             if self.stopping:
                 return
             done += 1
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -164,10 +164,11 @@
         caller_programs: int = 2,
         ack_timeout_s: float = 2.0,
     ):
-        self.directory = directory
+        # The processes run in this directory, so their paths have to be absolute.
+        self.directory = directory.resolve()
         self.deployment = deployment
         self.subnet = subnet
-        self.processes = ProcessGroup(directory)
+        self.processes = ProcessGroup(self.directory)
         self.balancers: dict[str, Balancer] = {}
         self.host_states: dict[str, str] = {}
         self.store_url = f"http://{subnet}.0.2:8500"
@@ -265,6 +266,25 @@
                 f"{host_id} to run revision {revision}",
             )
 
+    def owners(self) -> dict[str, str]:
+        """The balancer that dispatches to each upstream, by its own status."""
+        return {
+            upstream_id: host_id
+            for host_id in self.balancers
+            for upstream_id in (self.status(host_id) or {}).get("upstreams", ())
+        }
+
+    def wait_owners(self, timeout_s: float = 15.0) -> None:
+        """Wait until every upstream has an owner.
+
+        Restarted grantors abstain for a lease duration, so a whole cluster that
+        starts at once owns nothing for that long.
+        """
+        wanted = {u.upstream_id for s in self.deployment.services for u in s.upstreams}
+        wait_until(
+            lambda: wanted <= self.owners().keys(), timeout_s, "owners of all upstreams"
+        )
+
     def revision(self, host_id: str) -> int:
         answer = http_or_none(f"{self.balancers[host_id].admin_url}/revision")
         return (answer or {}).get("revision", 0)
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -21,25 +21,27 @@
 # P6: every host stops opening flows on a draining upstream within this time.
 DRAIN_BOUND_S = 3.0
 OPEN_TIMEOUT_S = 30.0
-SETTLE_TIMEOUT_S = 20.0
+SETTLE_TIMEOUT_S = 35.0
 FINISH_TIMEOUT_S = 25.0
 DETAILS_SHOWN = 3
 
 # kind, service, caller program, first caller IP, flows, connections of each caller,
-# pause between the steps of a session
+# flows opened a second
 WORK = (
-    ("stock", "stock-browser", 0, "10.1.0.1", 2100, 20, 7.0),
-    ("sheet", "sheet-service", 0, "10.2.0.1", 60, 5, 7.0),
-    ("printer", "printer-hub", 1, "10.3.0.1", 2100, 20, 14.0),
-    ("artwork", "artwork-store", 1, "10.4.0.1", 60, 5, 14.0),
+    ("stock", "stock-browser", 0, "10.1.0.1", 4000, 20, 270.0),
+    ("sheet", "sheet-service", 0, "10.2.0.1", 240, 5, 16.0),
+    ("printer", "printer-hub", 1, "10.3.0.1", 4000, 20, 270.0),
+    ("artwork", "artwork-store", 1, "10.4.0.1", 180, 5, 12.0),
 )
 # New flows go on arriving during the drain and the replacement.
 LATE_WORK = (
-    ("stock", "stock-browser", 0, "10.5.0.1", 300, 20, 7.0),
-    ("printer", "printer-hub", 1, "10.6.0.1", 300, 20, 14.0),
+    ("stock", "stock-browser", 0, "10.5.0.1", 300, 20, 20.0),
+    ("printer", "printer-hub", 1, "10.6.0.1", 300, 20, 20.0),
 )
-OPEN_PER_S = 150.0
-LATE_OPEN_PER_S = 20.0
+# Pause between the steps of a session. It is the same for all services, so that each
+# flow does one step while the balance is measured; otherwise chance in the number of
+# steps would outweigh the balance of 180 flows.
+THINK_S = 20.0
 
 
 def say(event: str, **values) -> None:
@@ -68,6 +70,7 @@
     def start(self) -> None:
         self.cluster.start()
         self.cluster.wait_revision(self.cluster.submit(self.cluster.deployment))
+        self.cluster.wait_owners()
         say(
             "cluster_ready",
             balancers=len(self.cluster.balancers),
@@ -75,9 +78,9 @@
             upstreams=sum(len(s.upstreams) for s in self.cluster.deployment.services),
         )
 
-    def start_work(self, works, open_per_s: float) -> int:
+    def start_work(self, works) -> int:
         total = 0
-        for kind, service, program, first_ip, flows, per_ip, think_s in works:
+        for kind, service, program, first_ip, flows, per_ip, rate in works:
             flows = max(1, round(flows * self.scale))
             self.cluster.start_work(
                 program,
@@ -86,14 +89,14 @@
                 first_ip=first_ip,
                 flows=flows,
                 flows_per_ip=per_ip,
-                think_s=think_s,
-                open_per_s=open_per_s * self.scale,
+                think_s=THINK_S,
+                open_per_s=rate * self.scale,
             )
             total += flows
         return total
 
     def open_flows(self) -> None:
-        self.total = self.start_work(WORK, OPEN_PER_S)
+        self.total = self.start_work(WORK)
         wait_until(
             lambda: self.cluster.progress("open:") >= self.total,
             OPEN_TIMEOUT_S,
@@ -112,7 +115,7 @@
 
     def measure_balance(self) -> None:
         before = self.cluster.busy_s()
-        self.wait_steps(1.5)
+        self.wait_steps(1.0)
         members = {
             service.name: [u.upstream_id for u in service.upstreams]
             for service in self.cluster.deployment.services
@@ -122,7 +125,7 @@
         say("balance", **shown, **self.elapsed())
 
     def drain(self) -> None:
-        self.total += self.start_work(LATE_WORK, LATE_OPEN_PER_S)
+        self.total += self.start_work(LATE_WORK)
         drained = self.cluster.deployment.drained(DRAINED_UPSTREAM)
         self.cluster.submit(drained, wait_s=0)
         self.drained_s = time.monotonic()
