--- a/testbed/caller.py
+++ b/testbed/caller.py
@@ -98,7 +98,7 @@
     # flow, token, message id, method, path, number, outcome, digest, latency_ms,
     # sends, service
     requests: list = field(default_factory=list)
-    # flow, token: a repeated answer with other bytes than the first
+    # flow, token, digest, code, first digest: a repeated answer with other bytes
     changed_answers: list = field(default_factory=list)
     # flow, token: an answer with a token that this flow never sent
     foreign_answers: list = field(default_factory=list)
@@ -320,7 +320,7 @@
         digest = coap.answer_digest(payload)
         exchange = flow.exchanges.get(message.token)
         if exchange is None:
-            self._check_repeat(flow, message.token, digest)
+            self._check_repeat(flow, message, digest)
             return
         if message.mtype is ACK and message.mid != exchange.mid:
             self.record.foreign_answers.append([flow.name, message.token.hex()])
@@ -331,14 +331,17 @@
             outcome = Outcome(OUTCOME_OF_CODE.get(message.code, "error"))
         self._finish(flow, exchange, Answer(outcome, message), digest)
 
-    def _check_repeat(self, flow: Flow, token: bytes, digest: str) -> None:
+    def _check_repeat(self, flow: Flow, message, digest: str) -> None:
+        token = message.token
         first = flow.digests.get(token)
         if first is None:
             self.record.foreign_answers.append([flow.name, token.hex()])
         elif first == digest or first == "":
             self.record.repeated_answers += 1
         else:
-            self.record.changed_answers.append([flow.name, token.hex()])
+            self.record.changed_answers.append(
+                [flow.name, token.hex(), digest, str(message.code), first]
+            )
 
     def _finish(self, flow, exchange: Exchange, answer: Answer, digest: str) -> None:
         exchange.timer.cancel()
--- a/testbed/demo.py
+++ b/testbed/demo.py
@@ -167,6 +167,7 @@
             without_answer=verdict.without_answer,
             false_not_run=verdict.false_not_run,
             errors=verdict.errors,
+            contradicting_answers=verdict.contradicting_answers,
             late_on_drained=len(late),
             over_slots=sum(r["over_slots"] for r in upstreams.values()),
             flows=self.total,
--- a/tests/steps/testbed_steps.py
+++ b/tests/steps/testbed_steps.py
@@ -325,6 +325,9 @@
         second["starts"].append(["f1", "t1", 1, "POST", "quote", "q1", None, 1])
     elif violation == "an answer that no upstream sent":
         requests[0][7] = "d2"
+    elif violation == "a later answer that no upstream sent":
+        changed = ["f1", "t1", "d2", "2.04 Changed", "d1"]
+        context.caller_records[0]["changed_answers"].append(changed)
     elif violation == "a packet at another service's upstream":
         second["foreign_packets"].append(["f1", "10.0.0.1:1"])
     elif violation == "a session step at an upstream new to it":
--- a/tests/testbed.feature
+++ b/tests/testbed.feature
@@ -57,6 +57,7 @@
       | a refused request that was started         | false_not_run |
       | a quote started at two upstreams           | run_twice     |
       | an answer that no upstream sent            | mixed_answers |
+      | a later answer that no upstream sent       | mixed_answers |
       | a packet at another service's upstream     | mixed_answers |
       | a session step at an upstream new to it    | broken_flows  |
       | a request without a final answer           | without_answer |
