--- a/src/wisteriatiller/admission.py
+++ b/src/wisteriatiller/admission.py
@@ -25,7 +25,11 @@
 # A request is admitted with room for this many mean service times, and dispatched
 # with room for slightly less than one: a late answer would be of no use.
 ADMISSION_SERVICE_TIMES = 1.25
+# The predicted wait is raised by this factor, since a request that waited in vain is
+# refused later than one that was refused on arrival.
+WAIT_MARGIN = 1.15
 DISPATCH_SERVICE_TIMES = 0.9
+SLOWER_SHARE = 0.75
 # Without any answer yet, an upstream is assumed to answer this many requests per slot
 # within the deadline. A low number would refuse most of the burst of requests that a
 # new owner gets; if the assumption is wrong, queued requests are refused later.
@@ -88,10 +92,11 @@
 
     def service_time_s(self) -> float:
         """The expected time from dispatch to answer."""
-        measured_s = self._health.service_time_s
-        if measured_s is None:
+        health = self._health
+        if health.mean_service_time_s is None:
             return self.deadline_s / ASSUMED_ANSWERS_PER_DEADLINE
-        return measured_s
+        # The steady mean predicts best, unless the upstream has just become slower.
+        return max(health.mean_service_time_s, SLOWER_SHARE * health.service_time_s)
 
     def allowed_slots(self) -> int:
         slots = self._upstream.slots
@@ -107,7 +112,7 @@
             return None
         needed_s = ADMISSION_SERVICE_TIMES * self.service_time_s()
         wait_s = self.predicted_wait_s(caller_id)
-        if wait_s > 0 and wait_s + needed_s > self.deadline_s:
+        if wait_s > 0 and WAIT_MARGIN * wait_s + needed_s > self.deadline_s:
             return self.refuse(Reason.DEADLINE)
         return None
 
--- a/src/wisteriatiller/balance.py
+++ b/src/wisteriatiller/balance.py
@@ -1,9 +1,9 @@
 """Choice of the upstream for a new flow by bounded load.
 
 A flow is placed on its home, the upstream that every host computes, unless the home
-has clearly more than its share of the service's open flows. The bound keeps most
-flows at home, where no record of an exception is needed, and still evens out what
-hashing alone leaves uneven.
+has more than its share of the service's open flows. Most flows so stay at home, where
+no record of an exception is needed, and what hashing alone leaves uneven is evened
+out.
 """
 
 import statistics
@@ -15,7 +15,14 @@
 from .loads import LoadBoard, UpstreamLoad
 from .opening import UpstreamChooser
 
+# A home sends flows away with a probability that rises from 0 at its fair count to 1
+# at this excess. A sharp bound would make the new flows of an upstream that restarted
+# swing between too many and none, with the period of the flows' idle limit.
+FULL_EXCESS = 0.10
+# Other upstreams take flows up to this excess.
 MAX_EXCESS = 0.02
+# Counts of few flows differ by chance; this many more are no excess.
+SLACK_FLOWS = 2
 CHOICES = 2
 # A cold upstream gets a few flows from the start, so that it has something to warm
 # up with.
@@ -24,10 +31,10 @@
 SLOW_FACTOR = 1.3
 # An upstream with clearly less than its share, such as one that restarted, is the
 # only one with room, and all owners would send it their excess at once. It may get
-# no more than half of a usual upstream's new flows in addition to its own.
-UNDERFILLED_SHARE = 0.9
+# no more than a small share of a usual upstream's new flows in addition to its own.
+UNDERFILLED_SHARE = 0.97
 UNDERFILLED_MIN_FLOWS = 20
-REFILL_EXCESS = 0.5
+REFILL_EXCESS = 0.15
 REFILL_BURST_S = 1.0
 # The sums over a service's upstreams are kept for this long, so that opening a flow
 # does not cost a pass over all of them.
@@ -72,9 +79,9 @@
 
 
 class BoundedLoadChooser(UpstreamChooser):
-    """Home, unless it has more than its share of the open flows.
+    """Home, or if it has more than its share of the open flows, maybe another.
 
-    Then the less loaded of the two upstreams that rank next for the flow and are
+    That is the less loaded of the two upstreams that rank next for the flow and are
     within their own bounds.
     """
 
@@ -100,7 +107,7 @@
 
     def _choose(self, service, flow_key, home, view: _View) -> UpstreamId:
         is_warm = home in view.weights and self._is_let_in(view, home)
-        if is_warm and self._has_room(view, home):
+        if is_warm and not self._sends_away(view, home):
             return home
         table = self._source.configuration.tables[service.service_id]
         others = [
@@ -135,6 +142,14 @@
         share = view.shares[upstream_id]
         return share >= 1 or self._environment.random.random() < share
 
+    def _sends_away(self, view: _View, home: UpstreamId) -> bool:
+        load = self._board.load_of(home)
+        fair_count = view.fair_count(home)
+        if load is None or load.open_flows <= fair_count + SLACK_FLOWS:
+            return False
+        excess = (load.open_flows - SLACK_FLOWS) / max(1.0, fair_count) - 1
+        return self._environment.random.random() < excess / FULL_EXCESS
+
     def _has_room(self, view: _View, upstream_id: UpstreamId) -> bool:
         load = self._board.load_of(upstream_id)
         if load is None:
--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -200,6 +200,10 @@
     def pump(self) -> None:
         """Dispatch queued requests while slots are free."""
         while self._queue and self._may_dispatch() and self._has_free_slot():
+            displaced = self._queue.displace()
+            if displaced is not None:
+                self._refuse(displaced, Reason.OVER_SHARE)
+                continue
             request = self._queue.pop()
             if self._now_s() > self.admission.latest_dispatch_s(request):
                 self._refuse(request, Reason.DEADLINE)
--- a/src/wisteriatiller/outcomes.py
+++ b/src/wisteriatiller/outcomes.py
@@ -19,6 +19,7 @@
 
     DEADLINE = "deadline"
     QUEUE_FULL = "queue_full"
+    OVER_SHARE = "over_share"
     DEPENDENCY = "dependency"
     DRAINING = "draining"
     NO_UPSTREAM = "no_upstream"
--- a/src/wisteriatiller/queueing.py
+++ b/src/wisteriatiller/queueing.py
@@ -36,41 +36,92 @@
         return RequestKey(self.flow_key, self.head.message_id)
 
 
+# Callers within their share pass one over it at most this often in a row, so that
+# a stream of ever new callers does not keep it waiting for too long.
+MAX_PASSES = 32
+# A caller is over its share with more than this many times the mean of the other
+# callers, among the recent dispatches, and some more for chance.
+OVER_SHARE_FACTOR = 2.0
+OVER_SHARE_SLACK = 3.0
+# Counts of recent dispatches are halved after this many, or more if there are many
+# callers.
+RECENT_DISPATCHES = 1024
+RECENT_DISPATCHES_PER_CALLER = 8
+
+
 class FairQueue:
-    """Deficit round robin over callers with a quantum of one request.
+    """Round robin over callers with a quantum of one request.
 
-    Each caller's requests keep their order, and between two requests of a caller
-    every other waiting caller gets one request dispatched.
+    Each caller's requests keep their order, and while a request is its caller's next
+    one, no other caller gets more than one request dispatched. Within that rule,
+    callers that used more than their share lately give way to the others: in plain
+    round robin, one busy caller takes a turn after each request of the others and
+    doubles their waits. ``displace`` must be called before each ``pop``.
     """
 
     def __init__(self):
-        self._by_caller: OrderedDict[CallerId, deque[Request]] = OrderedDict()
+        self._by_caller: dict[CallerId, deque[Request]] = {}
         self._by_age: OrderedDict[Request, None] = OrderedDict()
         # Item k holds the callers with more than k waiting requests. It keeps the
         # cost of ``ahead_of`` independent of the number of waiting callers, of which
         # there are thousands after an outage.
         self._levels: list[OrderedDict[CallerId, None]] = []
+        # Callers by the number of the dispatch after which their next request became
+        # their next one, in that order; those within their share also separately.
+        self._heads: OrderedDict[CallerId, int] = OrderedDict()
+        self._light: OrderedDict[CallerId, None] = OrderedDict()
+        self._last_dispatch: dict[CallerId, int] = {}
+        self._dispatches = 0
+        self._passes = 0
+        self._usage = _Usage()
 
     def __len__(self) -> int:
         return len(self._by_age)
 
     def push(self, request: Request) -> None:
-        waiting = self._by_caller.get(request.caller_id)
+        caller_id = request.caller_id
+        waiting = self._by_caller.get(caller_id)
         if waiting is None:
-            waiting = self._by_caller[request.caller_id] = deque()
+            waiting = self._by_caller[caller_id] = deque()
+            self._add_head(caller_id)
         if len(waiting) == len(self._levels):
             self._levels.append(OrderedDict())
-        self._levels[len(waiting)][request.caller_id] = None
+        self._levels[len(waiting)][caller_id] = None
         waiting.append(request)
         self._by_age[request] = None
 
     def pop(self) -> Request:
         """Take the next request; the queue must not be empty."""
-        caller_id, waiting = self._by_caller.popitem(last=False)
+        caller_id = self._next_caller()
+        self._passes = 0 if caller_id == next(iter(self._heads)) else self._passes + 1
+        self._dispatches += 1
+        self._last_dispatch[caller_id] = self._dispatches
+        self._forget_old_dispatches()
+        self._usage.add(caller_id)
+        waiting = self._by_caller[caller_id]
+        request = waiting.popleft()
+        self._remove_head(caller_id)
+        if waiting:
+            self._add_head(caller_id)
+        self._forget(request)
+        return request
+
+    def displace(self) -> Request | None:
+        """Take out a request whose turn would have to come before a waiting caller's.
+
+        That caller is within its share and had a turn since the request became its
+        own caller's next one. The request's caller is over its share. Serving the
+        request first would keep the others waiting, so it is to be refused.
+        """
+        if not self._light or not self._is_blocked(next(iter(self._light))):
+            return None
+        caller_id = next(iter(self._heads))
+        waiting = self._by_caller[caller_id]
         request = waiting.popleft()
+        self._remove_head(caller_id)
         if waiting:
-            self._by_caller[caller_id] = waiting
-        self._forget(request, len(waiting))
+            self._add_head(caller_id)
+        self._forget(request)
         return request
 
     def remove(self, request: Request) -> bool:
@@ -79,8 +130,8 @@
         waiting = self._by_caller[request.caller_id]
         waiting.remove(request)
         if not waiting:
-            del self._by_caller[request.caller_id]
-        self._forget(request, len(waiting))
+            self._remove_head(request.caller_id)
+        self._forget(request)
         return True
 
     def ahead_of(self, caller_id: CallerId) -> int:
@@ -101,8 +152,82 @@
         caller_id = next(reversed(self._levels[-1]))
         return self._by_caller[caller_id][-1]
 
-    def _forget(self, request: Request, left: int) -> None:
+    def _next_caller(self) -> CallerId:
+        """The first caller, or the first one within its share if that may pass it."""
+        first = next(iter(self._heads))
+        if first in self._light or self._passes >= MAX_PASSES:
+            return first
+        caller_id = next(iter(self._light), first)
+        return first if self._is_blocked(caller_id) else caller_id
+
+    def _is_blocked(self, caller_id: CallerId) -> bool:
+        """Whether the caller had a turn since the first one's request was its next."""
+        first, since = next(iter(self._heads.items()))
+        return first not in self._light and (
+            self._last_dispatch.get(caller_id, 0) > since
+        )
+
+    def _add_head(self, caller_id: CallerId) -> None:
+        self._heads[caller_id] = self._dispatches
+        if not self._usage.is_over_share(caller_id):
+            self._light[caller_id] = None
+
+    def _remove_head(self, caller_id: CallerId) -> None:
+        del self._heads[caller_id]
+        self._light.pop(caller_id, None)
+
+    def _forget(self, request: Request) -> None:
+        caller_id = request.caller_id
+        waiting = self._by_caller[caller_id]
         del self._by_age[request]
-        del self._levels[left][request.caller_id]
+        del self._levels[len(waiting)][caller_id]
         while self._levels and not self._levels[-1]:
             self._levels.pop()
+        if not waiting:
+            del self._by_caller[caller_id]
+
+    def _forget_old_dispatches(self) -> None:
+        """Drop numbers that are older than every waiting request's."""
+        if len(self._last_dispatch) <= 2 * len(self._heads) + RECENT_DISPATCHES:
+            return
+        oldest = min(self._heads.values(), default=self._dispatches)
+        self._last_dispatch = {
+            caller_id: number
+            for caller_id, number in self._last_dispatch.items()
+            if number > oldest
+        }
+
+
+class _Usage:
+    """Counts of recent dispatches by caller, halved from time to time."""
+
+    def __init__(self):
+        self._counts: dict[CallerId, float] = {}
+        self._total = 0.0
+        self._until_halving = RECENT_DISPATCHES
+
+    def add(self, caller_id: CallerId) -> None:
+        self._counts[caller_id] = self._counts.get(caller_id, 0.0) + 1
+        self._total += 1
+        self._until_halving -= 1
+        if self._until_halving <= 0:
+            self._halve()
+
+    def is_over_share(self, caller_id: CallerId) -> bool:
+        own = self._counts.get(caller_id, 0.0)
+        others = len(self._counts) - 1
+        if own <= OVER_SHARE_SLACK or others <= 0:
+            return False
+        mean_of_others = (self._total - own) / others
+        return own > OVER_SHARE_FACTOR * mean_of_others + OVER_SHARE_SLACK
+
+    def _halve(self) -> None:
+        self._counts = {
+            caller_id: count / 2
+            for caller_id, count in self._counts.items()
+            if count >= 1
+        }
+        self._total = sum(self._counts.values())
+        self._until_halving = max(
+            RECENT_DISPATCHES, RECENT_DISPATCHES_PER_CALLER * len(self._counts)
+        )
--- a/testbed/policyworld.py
+++ b/testbed/policyworld.py
@@ -132,7 +132,7 @@
         self.work: Callable[[Callable[[int], None]], None] | None = None
         self.started = 0
         self.answered = 0
-        self.received = 0
+        self.received_in_total = 0
         self.over_slots = 0
         self.max_running = 0
         self.busy_s = 0.0
@@ -150,7 +150,7 @@
     def reset_record(self) -> None:
         self._count_busy()
         self.busy_s = 0.0
-        self.started = self.answered = self.received = self.over_slots = 0
+        self.started = self.answered = self.over_slots = 0
         self.max_running = len(self._running)
 
     def busy(self) -> float:
@@ -182,7 +182,7 @@
         if header[-3:-2] == bytes((proxyheader.TLV_CANCEL,)):
             self._cancel(key)
             return
-        self.received += 1
+        self.received_in_total += 1
         if self._random.random() < self.loss_share:
             return
         if key in self._seen:
@@ -633,5 +633,9 @@
         self._token += 1
         return self._token.to_bytes(4, "big")
 
+    def peek_token(self) -> bytes:
+        """The token that the next request will have."""
+        return (self._token + 1).to_bytes(4, "big")
+
     def now_s(self) -> float:
         return asyncio.get_running_loop().time()
