--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -24,6 +24,7 @@
 from .report import RequestOutcome
 from .retries import (
     MAX_DISPATCHES,
+    MIN_RESEND_SERVICE_TIMES,
     RetryBudget,
     UpstreamMessageIds,
     retry_delay_s,
@@ -393,7 +394,9 @@
         loop = asyncio.get_running_loop()
         wait_s = remaining_s + ANSWER_GRACE_S
         timers = [loop.call_later(wait_s, self._time_out, request)]
-        if request.head.is_idempotent:
+        # Sent again before an answer can be expected, it would only cost the budget.
+        expected_s = MIN_RESEND_SERVICE_TIMES * self.admission.service_time_s()
+        if request.head.is_idempotent and remaining_s / 2 >= expected_s:
             timers.append(loop.call_later(remaining_s / 2, self._resend, request))
         self._timers[self._upstream_key(request)] = timers
 
@@ -506,8 +509,18 @@
     def _retry(self, request: Request) -> None:
         if request in self._retrying:
             self._retrying.remove(request)
+            # The expiry timer follows the order of arrival, in which this request,
+            # with its earlier deadline, is now the last one.
+            wait_s = self.admission.latest_dispatch_s(request) - self._now_s()
+            asyncio.get_running_loop().call_later(
+                max(MIN_EXPIRY_WAIT_S, wait_s), self._expire_retry, request
+            )
             self._enqueue(request)
 
+    def _expire_retry(self, request: Request) -> None:
+        if not self._paused and self._queue.remove(request):
+            self._refuse(request, Reason.DEADLINE)
+
     def _time_out(self, request: Request) -> None:
         if not self._is_in_flight(request):
             return
--- a/src/wisteriatiller/retries.py
+++ b/src/wisteriatiller/retries.py
@@ -11,6 +11,9 @@
 RETRY_SHARE = 0.1
 MAX_SAVED_RETRIES = 10.0
 MAX_DISPATCHES = 2
+# An unanswered request is sent again no earlier than after this many mean answer
+# times.
+MIN_RESEND_SERVICE_TIMES = 2.0
 MIN_RETRY_DELAY_S = 0.02
 MAX_RETRY_DELAY_S = 0.2
 
--- a/testbed/bench_policy.py
+++ b/testbed/bench_policy.py
@@ -782,14 +782,14 @@
     } | at_most(events["down"] / flaps, 0.33)
 
 
-async def crash(seed, sizes: Sizes, down_s=10.0, watched_s=120.0):
+async def crash(seed, sizes: Sizes, down_s=10.0, watched_s=120.0, warm_s=70.0):
     world = World({"s": sizes}, seed)
     world.start()
     await asyncio.sleep(SETTLE_S)
     rate = 0.8 * sizes.upstreams * sizes.slots / sizes.mean_s
-    until_s = world.now_s() + 70 + down_s + watched_s
+    until_s = world.now_s() + warm_s + down_s + watched_s
     traffic = ShortFlows(world, "s", rate, seed, until_s)
-    await asyncio.sleep(70)
+    await asyncio.sleep(warm_s)
     upstream = _first(world)
     upstream_id = upstream.upstream.upstream_id
     for item in world.upstreams.values():
--- a/testbed/policyworld.py
+++ b/testbed/policyworld.py
@@ -126,11 +126,15 @@
         self.silent = False
         self.refuse_share = 0.0
         self.loss_share = 0.0
+        self.late_share = 0.0
+        self.twice_share = 0.0
+        self.disorder_s = 0.0
         self.report_factor = 1.0
         self.report_state: str | None = None
         self.report_lag_s = 0.0
         self.work: Callable[[Callable[[int], None]], None] | None = None
         self.started = 0
+        self.started_keys: list[tuple[FlowKey, int]] = []
         self.answered = 0
         self.received_in_total = 0
         self.over_slots = 0
@@ -201,6 +205,7 @@
     def _start(self, key, payload: bytes) -> None:
         self._count_busy()
         self.started += 1
+        self.started_keys.append(key)
         if self.work is not None:
             self._running[key] = None
             self.work(lambda max_age_s: self._worked(key, payload, max_age_s))
@@ -235,9 +240,12 @@
         del self._running[key]
         self.answered += 1
         token = payload[4 : 4 + (payload[0] & 15)]
-        answer = coap_message(2, CODE_CONTENT, key[1], token, b"\xffdone")
+        body = payload[4 + len(token) :] or b"\xffdone"
+        answer = coap_message(2, CODE_CONTENT, key[1], token, body)
         self._seen[key] = answer
         self._send(key, answer)
+        if self._random.random() < self.twice_share:
+            self._send(key, answer)
         self._start_queued()
 
     def _start_queued(self) -> None:
@@ -260,8 +268,11 @@
 
     def _send(self, key, payload: bytes) -> None:
         if not self.silent:
+            delay_s = UPSTREAM_DELAY_S + self._random.random() * self.disorder_s
+            if self._random.random() < self.late_share:
+                delay_s += self._random.uniform(0, 4)
             self._loop.call_later(
-                UPSTREAM_DELAY_S,
+                delay_s,
                 self._world.from_upstream,
                 self.upstream,
                 key[0],
@@ -447,6 +458,7 @@
     def __post_init__(self):
         self.random = random.Random(f"world {self.seed}")
         self.flows: dict[FlowKey, Flow] = {}
+        self.on_answer: Callable[[FlowKey, bytes], None] = lambda key, payload: None
         self.on_sent: Callable[[FakeUpstream, bytes], None] | None = None
         self.owners: dict[UpstreamId, OwnerParts] = {}
         self.upstreams: dict[UpstreamId, FakeUpstream] = {}
@@ -614,6 +626,7 @@
     # Datagrams
 
     def _answer(self, flow_key: FlowKey, payload: bytes) -> None:
+        self.on_answer(flow_key, payload)
         flow = self.flows.get(flow_key)
         if flow is not None:
             flow.answered(payload)
