Deliver valid frames that arrive in one chunk with a bad one

The scenario on repeated frames failed when the kernel joined its writes into one read: the reader raised for the repeated frame before it returned the valid one before it.

--- a/src/wisteriatiller/peers.py
+++ b/src/wisteriatiller/peers.py
@@ -17,7 +17,7 @@
 import struct
 from abc import abstractmethod
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import msgpack
 from absl import logging
@@ -331,7 +331,7 @@
             if idle is not None:
                 idle.cancel()
 
-    def _receive_all(self, frames: list[bytes]) -> None:
+    def _receive_all(self, frames: Iterable[bytes]) -> None:
         for frame in frames:
             self._receive(frame)
 
@@ -458,11 +458,13 @@
         self._counter = 0
         self._buffer = bytearray()
 
-    def feed(self, chunk: bytes) -> list[bytes]:
-        """The whole frames up to ``chunk``; raises ``MessageError`` for a bad one."""
+    def feed(self, chunk: bytes) -> Iterator[bytes]:
+        """Yield the whole frames up to ``chunk``; raise ``MessageError`` for a bad one.
+
+        Frames before a bad one are valid, also if they arrive in the same chunk.
+        """
         buffer = self._buffer
         buffer += chunk
-        frames = []
         start = 0
         while len(buffer) - start >= _HEADER.size:
             length, digest = _HEADER.unpack_from(buffer, start)
@@ -477,11 +479,10 @@
                 raise MessageError("frame with a wrong digest")
             self._counter += 1
             if self.proven:
-                frames.append(frame)
+                yield frame
             self.proven = True
             start = end
         del buffer[:start]
-        return frames
 
 
 def _digest_prefix(nonce: bytes, address: Address) -> bytes:
