Have a first backup noted at the grantors; reserve a released lease for the backup

Cause: the first backup of a shard counted as noted as soon as it was required, and was never registered if requests were still on their way to it; a successor then could not know that its records are complete. Besides, a former backup that took the owner for silent won the lease at the moment of a hand-over.

--- a/src/wisteriatiller/grantors.py
+++ b/src/wisteriatiller/grantors.py
@@ -8,6 +8,10 @@
 from .ids import HostId
 from .leasemessages import LeaseRelease, LeaseReleased, LeaseReply, LeaseRequest
 
+# A former backup that takes the owner for silent would otherwise win a planned
+# hand-over against the successor that has the records.
+RESERVED_S = 1.0
+
 
 @dataclass(slots=True)
 class Grant:
@@ -16,7 +20,8 @@
     ``highest_epoch`` is the highest epoch granted. ``held_epoch`` is the highest one
     that its holder was granted by a majority; a candidate that failed leaves only
     the former behind. ``backup`` has all records of that holder; the highest
-    ``generation`` is the latest backup.
+    ``generation`` is the latest backup. After a release, only the backup is granted
+    the lease until ``reserved_until_s``.
     """
 
     holder: HostId = HostId("")
@@ -27,6 +32,7 @@
     held_by: HostId = HostId("")
     generation: int = 0
     backup: HostId = HostId("")
+    reserved_until_s: float = 0.0
     released: dict[HostId, int] = field(default_factory=dict)
 
 
@@ -112,6 +118,8 @@
             # A renewal that was delayed until after the release.
             return False
         if not held:
+            if self._now_s() < grant.reserved_until_s and holder != grant.backup:
+                return False
             return epoch > grant.highest_epoch
         # A renewal of the last holder is taken although a candidate that failed left
         # a higher epoch behind; no other host can have held the lease since.
@@ -168,6 +176,7 @@
             grant.released[sender] = max(epoch, grant.released.get(sender, 0))
             if grant.holder == sender and grant.epoch <= epoch:
                 grant.expires_s = 0.0
+                grant.reserved_until_s = self._now_s() + RESERVED_S
         return LeaseReleased()
 
     def _now_s(self) -> float:
--- a/src/wisteriatiller/replication.py
+++ b/src/wisteriatiller/replication.py
@@ -105,7 +105,7 @@
     """The owner's side of the replication of one shard.
 
     A request is recorded once every host in ``required`` has it: the backup that the
-    grantors know and, while that changes, also the next one.
+    grantors know, which is ``noted``, and the next one while that changes.
     """
 
     def __init__(
@@ -121,6 +121,7 @@
         self.heads: dict[RequestKey, CoapHead] = {}
         self.streams: dict[HostId, _Stream] = {}
         self.required: set[HostId] = set()
+        self.noted: HostId | None = None
         self.held_since_s = environment.clock.now_s()
         self._environment = environment
         self._leases = leases
@@ -288,7 +289,8 @@
     def is_noted(self, host_id: HostId) -> bool:
         """Whether the host is the noted backup."""
         stream = self.streams.get(host_id)
-        return self.required == {host_id} and stream is not None and stream.synchronised
+        is_only = self.noted == host_id and self.required == {host_id}
+        return is_only and stream is not None and stream.synchronised
 
     def has_all(self, host_id: HostId) -> bool:
         """Whether the host is the noted backup and nothing waits to be sent to it."""
@@ -301,7 +303,7 @@
     def _advance(self, host_id: HostId) -> None:
         """Let the grantors note a synchronised host as the backup."""
         stream = self.streams[host_id]
-        if not stream.synchronised or self.required == {host_id}:
+        if not stream.synchronised or self.is_noted(host_id):
             return
         if stream.missing is None:
             # From now on, nothing is dispatched that this host does not have. What
@@ -316,6 +318,7 @@
         is_noted = await self._leases.register_backup(self.owned.shard, host_id)
         stream.registering = False
         if is_noted and self.streams.get(host_id) is stream:
+            self.noted = host_id
             self.required = {host_id}
             log_event("backup_noted", shard=self.owned.shard, backup=host_id)
             self._check_all()
