Treat the noted backup as unknown while another is being registered

Cause: a registration whose stream was restarted meanwhile left the owner with the name of the former backup, while the grantors had the new one; the hand-over then went to a host that the grantors did not know as the backup.

--- a/src/wisteriatiller/replication.py
+++ b/src/wisteriatiller/replication.py
@@ -315,6 +315,8 @@
             spawn(self._register(host_id, stream), f"register backup {host_id}")
 
     async def _register(self, host_id: HostId, stream: _Stream) -> None:
+        # The grantors may know this host from now on, even if the answer says no.
+        self.noted = None
         is_noted = await self._leases.register_backup(self.owned.shard, host_id)
         stream.registering = False
         if is_noted and self.streams.get(host_id) is stream:
