Keep part of the retry budget for unanswered requests; sharpen the tests

A resend frees a slot, a retry of a refusal only saves the caller a round trip. The owner's counts say nothing about opaque services, so their reports are no longer checked against them. The tests now fail for plain round robin, a retry under the old message id, a trusted refusal of a second copy and an unlimited refill, which they let pass before.

--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -7,7 +7,7 @@
 from . import coapcodec, proxyheader
 from .admission import Admission
 from .coapcodec import CoapHead, MessageType
-from .config import Service, Upstream
+from .config import RequestMode, Service, Upstream
 from .duplicates import (
     FINAL_STATES,
     DuplicateTable,
@@ -23,6 +23,7 @@
 from .queueing import FairQueue, Request
 from .report import RequestOutcome
 from .retries import (
+    KEPT_FOR_UNANSWERED,
     MAX_DISPATCHES,
     MIN_RESEND_SERVICE_TIMES,
     RetryBudget,
@@ -135,7 +136,8 @@
             self._queue,
             self._in_flight.values(),
         )
-        health.in_flight = lambda: len(self._in_flight)
+        if service.mode is RequestMode.COAP:
+            health.in_flight = lambda: len(self._in_flight)
         health.subscribe(self._health_changed)
 
     @property
@@ -491,13 +493,13 @@
         request.resent = True
         self._send_request(request, request.deadline_s)
 
-    def _may_repeat(self, request: Request) -> bool:
+    def _may_repeat(self, request: Request, keep: float = 0.0) -> bool:
         """Whether policy and budget allow one more dispatch; spends the budget."""
         return (
             not self.health.is_down
             and not self.health.is_shedding
             and self._policy.may_retry(self.service.service_id, request.caller_id)
-            and self.retry_budget.take()
+            and self.retry_budget.take(keep)
         )
 
     def _upstream_refused(
@@ -529,7 +531,7 @@
             or self._paused
             or request.dispatches >= MAX_DISPATCHES
             or self._now_s() + delay_s > self.admission.latest_dispatch_s(request)
-            or not self._may_repeat(request)
+            or not self._may_repeat(request, KEPT_FOR_UNANSWERED)
         ):
             return False
         request.record.state = RequestState.QUEUED
--- a/src/wisteriatiller/loads.py
+++ b/src/wisteriatiller/loads.py
@@ -138,6 +138,7 @@
         self._round += 1
         loads = self._measure_own()
         configuration = self._source.configuration
+        self._forget_removed(configuration)
         full = self._round % ROUNDS_PER_FULL_SUMMARY == 0
         by_peer: dict[HostId, list] = {}
         for service_id, own in loads.items():
@@ -157,6 +158,12 @@
         for own in loads.values():
             self._sent.update(own)
 
+    def _forget_removed(self, configuration: Configuration) -> None:
+        known = configuration.upstreams
+        for values in (self._remote, self._placed, self._sent, self._rates):
+            for upstream_id in values.keys() - known.keys():
+                del values[upstream_id]
+
     def _turn_of(self, peers: list[HostId]) -> list[HostId]:
         if len(peers) <= MAX_SUMMARIES_PER_ROUND:
             return peers
--- a/src/wisteriatiller/retries.py
+++ b/src/wisteriatiller/retries.py
@@ -10,6 +10,9 @@
 # keep an overload going.
 RETRY_SHARE = 0.1
 MAX_SAVED_RETRIES = 10.0
+# An unanswered request holds a slot until it is sent again or times out. Retries of
+# refused requests leave this much of the budget for those.
+KEPT_FOR_UNANSWERED = 5.0
 MAX_DISPATCHES = 2
 # An unanswered request is sent again no earlier than after this many mean answer
 # times.
@@ -31,10 +34,10 @@
     def succeeded(self) -> None:
         self._tokens = min(MAX_SAVED_RETRIES, self._tokens + RETRY_SHARE)
 
-    def take(self) -> bool:
-        """Spend one repeat if the budget has it."""
+    def take(self, keep: float = 0.0) -> bool:
+        """Spend one repeat if the budget has it and ``keep`` more."""
         # Ten additions of 0.1 give slightly less than one in floating point.
-        if self._tokens < 1 - 1e-9:
+        if self._tokens < keep + 1 - 1e-9:
             return False
         self._tokens -= 1
         self.spent += 1
--- a/testbed/bench_policy.py
+++ b/testbed/bench_policy.py
@@ -3,7 +3,7 @@
 Examples::
 
     python -m testbed.bench_policy --case fairness --seed 1
-    python -m testbed.bench_policy --all --plots docs/plots
+    python -m testbed.bench_policy --all --seed 2
 
 Each line is a measurement as key=value pairs with its seed; where a target applies,
 ``target`` names it and ``met`` says whether it holds.
@@ -15,7 +15,6 @@
 import random
 import statistics
 import time
-from pathlib import Path
 
 from wisteriatiller import proxyheader
 from wisteriatiller.dispatch import DispatchPolicy
@@ -856,7 +855,6 @@
     parser.add_argument("--case", action="append", choices=sorted(CASES))
     parser.add_argument("--all", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--plots", type=Path)
     arguments = parser.parse_args()
     names = list(CASES) if arguments.all else arguments.case or []
     if not names:
@@ -871,10 +869,6 @@
         print(f"case={name} seed={arguments.seed} wall_s={took_s:.1f}", flush=True)
     missed = [name for name, values in rows if values.get("met") == "no"]
     print(f"measurements={len(rows)} targets_missed={len(missed)}", flush=True)
-    if arguments.plots:
-        from .policyplots import draw
-
-        draw(rows, arguments.plots)
 
 
 if __name__ == "__main__":
--- a/testbed/policyworld.py
+++ b/testbed/policyworld.py
@@ -126,6 +126,7 @@
         self.silent = False
         self.refuse_share = 0.0
         self.loss_share = 0.0
+        self.deduplicates = True
         self.late_share = 0.0
         self.twice_share = 0.0
         self.disorder_s = 0.0
@@ -189,7 +190,7 @@
         self.received_in_total += 1
         if self._random.random() < self.loss_share:
             return
-        if key in self._seen:
+        if key in self._seen and self.deduplicates:
             if self._seen[key]:
                 self._send(key, self._seen[key])
             return
--- a/tests/balance.feature
+++ b/tests/balance.feature
@@ -22,7 +22,7 @@
     # Guards against owners that all send their excess to the one with room.
     When one of 5 upstreams crashes at 80 percent load and restarts cold
     Then no upstream ever had more requests than slots
-    And the restarted upstream never had more than 1.35 times the others' load
+    And the restarted upstream never had more than 1.25 times the others' load
 
   Scenario: Stale loads do not count
     # Guards against placement by the last report of an owner that is gone.
--- a/tests/overload.feature
+++ b/tests/overload.feature
@@ -33,12 +33,20 @@
     And no POST was sent to the upstream twice
     And no answer has the body of another request
 
+  Scenario: A refusal of a second copy says nothing of the first
+    # Guards against "not run" for a request of which another copy runs.
+    Given a service of one upstream with 3 slots and answers after about 50 ms
+    And the upstream treats every copy of a request as a new one
+    When a request runs for long and its second copy is refused
+    Then its outcome is unknown although the second copy was refused
+
   Scenario: Retries stay within their budget
     # Guards against retries that keep an overload going.
     Given a service of one upstream with 3 slots and answers after about 20 ms
     And the upstream refuses half of the requests
     When 2000 GET and POST requests are sent at half the capacity
     Then requests were retried, and at most for 10 percent of the answers
+    And some of the retried requests were answered
 
   Scenario: Nothing is retried while the upstream reports shedding
     # Guards against retries against an upstream that asked for less.
--- a/tests/steps/overload_steps.py
+++ b/tests/steps/overload_steps.py
@@ -270,6 +270,41 @@
     assert 0 < repeats <= answered * percent / 100, (repeats, answered)
 
 
+@then("some of the retried requests were answered")
+def then_retries_useful(context):
+    traffic = context.traffic
+    answered = {traffic.body(key) for key in traffic.codes(CODE_CONTENT)}
+    assert any(traffic.sends[body] > 1 for body in answered)
+
+
+@given("the upstream treats every copy of a request as a new one")
+def given_no_duplicates(context):
+    context.faults = {"deduplicates": False}
+
+
+@when("a request runs for long and its second copy is refused")
+def when_second_copy_refused(context):
+    async def scenario(world, traffic):
+        for number in range(15):
+            traffic.send(number)
+            await asyncio.sleep(0.5)
+        traffic.upstream.speed = 0.01
+        context.first = traffic.send(100)
+        await asyncio.sleep(0.1)
+        traffic.upstream.refuse_share = 1.0
+        await asyncio.sleep(3)
+
+    run(context, scenario)
+
+
+@then("its outcome is unknown although the second copy was refused")
+def then_unknown_in_spite(context):
+    traffic = context.traffic
+    assert traffic.sends[traffic.body(context.first)] == 2
+    assert context.started_bodies.count(traffic.body(context.first)) == 1
+    assert context.first in traffic.codes(CODE_TIMEOUT), traffic.answers[context.first]
+
+
 @then("no request was retried")
 def then_no_retry(context):
     traffic = context.traffic
--- a/tests/steps/queueing_steps.py
+++ b/tests/steps/queueing_steps.py
@@ -11,6 +11,9 @@
 from wisteriatiller.queueing import FairQueue, Request
 
 DURATION_S = 15.0
+# With this seed, plain round robin misses the bound within the short run: the busy
+# caller then raises the p99 of the others to 1.96 times.
+SEED = 3
 
 
 def queued_request(caller_id):
@@ -21,8 +24,8 @@
 @when('one of 40 callers sends at 50 times its share through a queue of kind "{kind}"')
 def when_busy_caller(context, kind):
     fifo = kind == "fifo"
-    context.alone = run_virtual(one_busy_caller(1, 3, 1, fifo, DURATION_S))
-    context.loaded = run_virtual(one_busy_caller(1, 3, 50, fifo, DURATION_S))
+    context.alone = run_virtual(one_busy_caller(SEED, 3, 1, fifo, DURATION_S))
+    context.loaded = run_virtual(one_busy_caller(SEED, 3, 50, fifo, DURATION_S))
 
 
 def p99_ratio(context):
