--- a/src/wisteriatiller/queueing.py
+++ b/src/wisteriatiller/queueing.py
@@ -56,7 +56,7 @@
     one, no other caller gets more than one request dispatched. Within that rule,
     callers that used more than their share lately give way to the others: in plain
     round robin, one busy caller takes a turn after each request of the others and
-    doubles their waits. ``displace`` must be called before each ``pop``.
+    doubles their waits. ``displace`` is called before each ``pop`` for a dispatch.
     """
 
     def __init__(self):
--- a/testbed/bench_policy.py
+++ b/testbed/bench_policy.py
@@ -827,10 +827,17 @@
     return samples, over, excess, traffic.outcomes
 
 
+def first_even(samples, index: int, tolerance: float) -> float:
+    """When the ratio first came within the tolerance of 1; -1 if it did not."""
+    return next((s[0] for s in samples if abs(s[index] - 1) <= tolerance), -1.0)
+
+
 def time_to_even(samples, index: int, tolerance: float) -> float:
-    """When the ratio came within the tolerance of 1 for good."""
+    """When the ratio came within the tolerance of 1 for good; -1 if it did not."""
     late = [s[0] for s in samples if abs(s[index] - 1) > tolerance]
-    return max(late, default=0.0) + 5.0 if late else 5.0
+    if not late:
+        return 0.0
+    return -1.0 if late[-1] == samples[-1][0] else late[-1]
 
 
 @case
@@ -841,6 +848,8 @@
     yield {
         "over_slots": over,
         "max_running_above_slots": excess,
+        "busy_first_even_s": first_even(samples, 1, 0.15),
+        "open_first_even_s": first_even(samples, 2, 0.05),
         "busy_even_after_s": time_to_even(samples, 1, 0.15),
         "open_even_after_s": time_to_even(samples, 2, 0.05),
         "busy_ratio_max": max(s[1] for s in samples),
