--- a/testbed/bench_policy.py
+++ b/testbed/bench_policy.py
@@ -3,7 +3,7 @@
 Examples::
 
     python -m testbed.bench_policy --case fairness --seed 1
-    python -m testbed.bench_policy --all --plots docs/plots
+    python -m testbed.bench_policy --all --seed 2
 
 Each line is a measurement as key=value pairs with its seed; where a target applies,
 ``target`` names it and ``met`` says whether it holds.
@@ -15,7 +15,6 @@
 import random
 import statistics
 import time
-from pathlib import Path
 
 from wisteriatiller import proxyheader
 from wisteriatiller.dispatch import DispatchPolicy
@@ -570,7 +569,10 @@
     loop = asyncio.get_running_loop()
     for _ in range(total):
         loop.call_later(world.random.random(), callers.new_caller)
-    while callers.outcomes["answered"] < total and world.now_s() < start_s + 600:
+    while (
+        callers.outcomes["answered"] + callers.outcomes["unknown"] < total
+        and world.now_s() < start_s + 600
+    ):
         await asyncio.sleep(0.5)
     taken_s = world.now_s() - start_s
     world.stop()
@@ -602,6 +604,11 @@
             else:
                 values |= at_least(share, GOODPUT_TARGET)
             yield values
+
+
+@case
+def return_wave(seed: int):
+    """The returns of 40 s worth of callers that all come at once."""
     callers, taken_s, ideal_s = run_virtual(wave(seed))
     seconds = sorted(callers.returns_at)
     per_second = [callers.returns_at[s] for s in range(seconds[0], seconds[-1] + 1)]
@@ -609,6 +616,8 @@
         "wave": 9000,
         "ideal_s": ideal_s,
         "taken_s": taken_s,
+        "answered": callers.outcomes["answered"],
+        "unknown": callers.outcomes["unknown"],
         "returns_max_per_s": max(per_second),
         "capacity_per_s": 225,
         "returns_max_mean": max_to_mean(per_second),
@@ -828,10 +837,17 @@
     return samples, over, excess, traffic.outcomes
 
 
+def first_even(samples, index: int, tolerance: float) -> float:
+    """When the ratio first came within the tolerance of 1; -1 if it did not."""
+    return next((s[0] for s in samples if abs(s[index] - 1) <= tolerance), -1.0)
+
+
 def time_to_even(samples, index: int, tolerance: float) -> float:
-    """When the ratio came within the tolerance of 1 for good."""
+    """When the ratio came within the tolerance of 1 for good; -1 if it did not."""
     late = [s[0] for s in samples if abs(s[index] - 1) > tolerance]
-    return max(late, default=0.0) + 5.0 if late else 5.0
+    if not late:
+        return 0.0
+    return -1.0 if late[-1] == samples[-1][0] else late[-1]
 
 
 @case
@@ -842,6 +858,8 @@
     yield {
         "over_slots": over,
         "max_running_above_slots": excess,
+        "busy_first_even_s": first_even(samples, 1, 0.15),
+        "open_first_even_s": first_even(samples, 2, 0.05),
         "busy_even_after_s": time_to_even(samples, 1, 0.15),
         "open_even_after_s": time_to_even(samples, 2, 0.05),
         "busy_ratio_max": max(s[1] for s in samples),
@@ -856,7 +874,6 @@
     parser.add_argument("--case", action="append", choices=sorted(CASES))
     parser.add_argument("--all", action="store_true")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--plots", type=Path)
     arguments = parser.parse_args()
     names = list(CASES) if arguments.all else arguments.case or []
     if not names:
@@ -871,10 +888,6 @@
         print(f"case={name} seed={arguments.seed} wall_s={took_s:.1f}", flush=True)
     missed = [name for name, values in rows if values.get("met") == "no"]
     print(f"measurements={len(rows)} targets_missed={len(missed)}", flush=True)
-    if arguments.plots:
-        from .policyplots import draw
-
-        draw(rows, arguments.plots)
 
 
 if __name__ == "__main__":
