--- a/src/wisteriatiller/loads.py
+++ b/src/wisteriatiller/loads.py
@@ -182,7 +182,9 @@
                     owned.flows.open_count(upstream_id), owned.flows.opened(upstream_id)
                 )
                 load = self._own_load(upstream_id)
-                loads.setdefault(upstream.service_id, {})[upstream_id] = load
+                # A shard that is just being handed over has none.
+                if load is not None:
+                    loads.setdefault(upstream.service_id, {})[upstream_id] = load
         return loads
 
     def _own_load(self, upstream_id: UpstreamId) -> UpstreamLoad | None:
