--- a/tests/process.feature
+++ b/tests/process.feature
@@ -19,6 +19,14 @@
     Then no flow opens on it later than 3 seconds after the drain was accepted
     And no promise of the cluster is broken
 
+  Scenario: A full rolling restart while the store is away
+    # Guards against restarts that lose flows or cut requests, and against joiners
+    # that cannot start without the store.
+    Given sessions of both users
+    When every balancer is restarted in turn while the store is away
+    Then no flow is broken and no request is cut by the restarts
+    And no promise of the cluster is broken
+
   Scenario: An owner is killed during quotes
     # Guards against a successor that runs a dispatched quote again or calls it not
     # run.
