Count the hand-over itself as proof of the former owner's lease

The successor only counted the last renewal, up to 1 s old. Beside a grantor that had restarted within that second, it held its records for incomplete, and non-idempotent requests got outcome unknown for 247 s.

--- a/src/wisteriatiller/backups.py
+++ b/src/wisteriatiller/backups.py
@@ -148,6 +148,7 @@
     # The queue of a planned hand-over; it counts only once the former owner has said
     # that it gave the lease up.
     queue: list[Request] = field(default_factory=list)
+    queued_at_s: float = 0.0
     handover: int = 0
     given_up: bool = False
 
--- a/src/wisteriatiller/handover.py
+++ b/src/wisteriatiller/handover.py
@@ -311,6 +311,7 @@
         except (MessageError, ValueError, TypeError):
             return HandoverReply(False)
         backup.handover = queue.number
+        backup.queued_at_s = self._now_s()
         return HandoverReply(True)
 
     def _handle_given_up(
@@ -321,6 +322,9 @@
             return HandoverReply(False)
         if not backup.given_up:
             backup.given_up = True
+            # The owner checked its lease after this host had taken the queue. A
+            # grantor that restarted shortly before then remembers long enough.
+            backup.confirmed_s = max(backup.confirmed_s, backup.queued_at_s)
             shard = ShardId(self._zone, message.index)
             spawn(self._acquire(shard), f"acquire {shard}")
         return HandoverReply(True)
