Keep the ranking of hosts for each shard between changes

Each host ordered the live hosts of its zone anew for every shard of the zone, five times a second. The work grew with the square of the hosts in a zone.

--- a/src/wisteriatiller/ownership.py
+++ b/src/wisteriatiller/ownership.py
@@ -1,9 +1,12 @@
 """Which host owns which ownership shard."""
 
+from bisect import insort
+from dataclasses import dataclass
+
 from .environment import Environment
 from .ids import HostId, ShardId
 from .membership import Membership
-from .placement import rank_hosts
+from .placement import host_score, rank_hosts
 
 
 def shard_key(shard: ShardId) -> str:
@@ -11,17 +14,36 @@
     return f"shard/{shard}"
 
 
+# Beyond this many new hosts, ordering all of them anew costs less.
+MAX_INSERTED_HOSTS = 16
+
+
+@dataclass(slots=True)
+class _Ranking:
+    """The order of the live hosts for one shard, as computed last."""
+
+    live: tuple[HostId, ...]
+    ranked: tuple[HostId, ...]
+
+
 class Ownership:
     """Resolves shards to hosts from gossip, or by rank where none is known."""
 
     def __init__(self, environment: Environment, membership: Membership):
         self._host_id = environment.settings.host_id
         self._membership = membership
+        # Each host asks for the ranking of every shard of its zone several times a
+        # second, and ordering the hosts each time grows with their number squared.
+        self._rankings: dict[ShardId, _Ranking] = {}
 
-    def ranking(self, shard: ShardId) -> list[HostId]:
+    def ranking(self, shard: ShardId) -> tuple[HostId, ...]:
         """Live hosts of the shard's zone; the first should own it."""
-        live = self._membership.live_hosts(shard.zone)
-        return rank_hosts(str(shard), live)
+        live = tuple(self._membership.live_hosts(shard.zone))
+        known = self._rankings.get(shard)
+        if known is None or known.live != live:
+            ranked = _rank(str(shard), live, known)
+            known = self._rankings[shard] = _Ranking(live, ranked)
+        return known.ranked
 
     def owner(self, shard: ShardId) -> HostId | None:
         known = self._membership.value(shard_key(shard))
@@ -45,3 +67,17 @@
     def is_first(self, shard: ShardId) -> bool:
         ranking = self.ranking(shard)
         return bool(ranking) and ranking[0] == self._host_id
+
+
+def _rank(
+    key: str, live: tuple[HostId, ...], former: _Ranking | None
+) -> tuple[HostId, ...]:
+    """Order the hosts for the key, best first, from a former order if there is one."""
+    present = set(live)
+    added = present.difference(former.live) if former else present
+    if former is None or len(added) > MAX_INSERTED_HOSTS:
+        return tuple(rank_hosts(key, live))
+    ranked = [host_id for host_id in reversed(former.ranked) if host_id in present]
+    for host_id in added:
+        insort(ranked, host_id, key=lambda other: host_score(key, other))
+    return tuple(reversed(ranked))
--- a/src/wisteriatiller/placement.py
+++ b/src/wisteriatiller/placement.py
@@ -63,13 +63,14 @@
     return -weight / math.log(draw)
 
 
+def host_score(key: str, host_id: HostId) -> tuple[int, HostId]:
+    """What ``rank_hosts`` orders a host by."""
+    return xxh64_intdigest(f"{key}|{host_id}".encode()), host_id
+
+
 def rank_hosts(key: str, host_ids: Iterable[HostId]) -> list[HostId]:
     """Order hosts for ``key`` by rendezvous hashing, best first."""
-    return sorted(
-        host_ids,
-        key=lambda host_id: (xxh64_intdigest(f"{key}|{host_id}".encode()), host_id),
-        reverse=True,
-    )
+    return sorted(host_ids, key=lambda host_id: host_score(key, host_id), reverse=True)
 
 
 def shard_of(upstream_id: UpstreamId, zone: ZoneId, shard_count: int) -> ShardId:
--- a/tests/placement.feature
+++ b/tests/placement.feature
@@ -17,3 +17,8 @@
     Given a placement table of 7 upstreams
     When the last upstream is drained
     Then the earlier homes of 500 flows name the drained upstream once or nothing
+
+  Scenario: Rankings follow the live hosts
+    # Guards against a cached ranking that differs from the one other hosts compute.
+    Given 30 hosts of a zone of which some come and go 200 times
+    Then the ranking of each shard is always the one that a fresh host computes
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -1,7 +1,12 @@
 """Steps for the placement of flows."""
 
+import random
+from types import SimpleNamespace
+
 from behave import given, then, when
 
+from wisteriatiller.ids import HostId, ShardId, ZoneId
+from wisteriatiller.ownership import Ownership
 from wisteriatiller.placement import PlacementTable, earlier_homes
 
 
@@ -49,3 +54,29 @@
         moved = context.placement.home(key) == context.drained
         expected = [context.drained] if moved else []
         assert earlier_homes(key, context.after, earlier) == expected, key
+
+
+@given("{count:d} hosts of a zone of which some come and go {changes:d} times")
+def given_changing_hosts(context, count, changes):
+    """Ask for the rankings after each change, as a host does, and afresh."""
+    generator = random.Random(1)
+    names = [HostId(f"host-{index}") for index in range(count)]
+    live = set(names)
+    membership = SimpleNamespace(live_hosts=lambda zone: tuple(sorted(live)))
+    environment = SimpleNamespace(settings=SimpleNamespace(host_id=names[0]))
+    ownership = Ownership(environment, membership)
+    context.pairs = []
+    for _ in range(changes):
+        # Sometimes more at once than are put into a former order one by one.
+        for name in generator.sample(names, generator.choice((0, 1, 2, 25))):
+            live.symmetric_difference_update((name,))
+        for index in range(4):
+            shard = ShardId(ZoneId("brest"), index)
+            fresh = Ownership(environment, membership).ranking(shard)
+            context.pairs.append((ownership.ranking(shard), fresh))
+
+
+@then("the ranking of each shard is always the one that a fresh host computes")
+def then_same_rankings(context):
+    assert all(cached == fresh for cached, fresh in context.pairs)
+    assert len(set(context.pairs)) > len(context.pairs) // 4
