Register only the wanted backup, and let a replaced one catch up anew

A host that lost its place while it was catching up could be noted later without the requests that were dispatched in between.

--- a/src/wisteriatiller/replication.py
+++ b/src/wisteriatiller/replication.py
@@ -123,6 +123,7 @@
         self.streams: dict[HostId, _Stream] = {}
         self.required: set[HostId] = set()
         self.noted: HostId | None = None
+        self._wanted: HostId | None = None
         self.held_since_s = environment.clock.now_s()
         self._environment = environment
         self._leases = leases
@@ -226,6 +227,7 @@
 
     def choose(self, wanted: HostId | None) -> None:
         """Stream to the wanted backup, and to those still required."""
+        self._wanted = wanted
         for host_id in list(self.streams):
             if host_id != wanted and host_id not in self.required:
                 del self.streams[host_id]
@@ -305,9 +307,9 @@
         return not stream.dirty and not stream.in_flight
 
     def _advance(self, host_id: HostId) -> None:
-        """Let the grantors note a synchronised host as the backup."""
+        """Let the grantors note the wanted host as the backup once it has all."""
         stream = self.streams[host_id]
-        if not stream.synchronised or self.is_noted(host_id):
+        if host_id != self._wanted or not stream.synchronised or self.is_noted(host_id):
             return
         if stream.missing is None:
             # From now on, nothing is dispatched that this host does not have. What
@@ -323,9 +325,15 @@
         self.noted = None
         is_noted = await self._leases.register_backup(self.owned.shard, host_id)
         stream.registering = False
-        if is_noted and self.streams.get(host_id) is stream:
+        is_required = host_id in self.required and self.streams.get(host_id) is stream
+        if is_noted and is_required:
             self.noted = host_id
             self.required = {host_id}
+            for other in self.streams.values():
+                if other is not stream:
+                    # It is not required any more, so it has to catch up anew before
+                    # it can be the backup.
+                    other.missing = None
             log_event("backup_noted", shard=self.owned.shard, backup=host_id)
             self._check_all()
 
