--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -306,17 +306,26 @@
         balancer = self.add_balancer(zone)
         self.host_states[balancer.host_id] = "leaving"
         self.start_balancer(balancer.host_id)
-        self.wait_ready(balancer.host_id)
-        self.set_host_state(balancer.host_id, "live")
+        self._go_live(balancer.host_id)
         return code, balancer.host_id
 
     def restart_balancer(self, host_id: str) -> int:
         """Stop a balancer and start it again with the same id."""
         code = self.stop_balancer(host_id)
         self.start_balancer(host_id)
+        self._go_live(host_id)
+        return code
+
+    def _go_live(self, host_id: str) -> None:
+        """Let the fabric send to a host once it runs the others' revision."""
         self.wait_ready(host_id)
+        revision = max(self.revision(other) for other in self.balancers)
+        wait_until(
+            lambda: self.revision(host_id) >= revision,
+            START_TIMEOUT_S,
+            f"{host_id} to run revision {revision}",
+        )
         self.set_host_state(host_id, "live")
-        return code
 
     def set_host_state(self, host_id: str, state: str) -> None:
         self.host_states[host_id] = state
--- a/tests/steps/process_steps.py
+++ b/tests/steps/process_steps.py
@@ -241,9 +241,7 @@
     cluster.store_faults(away=True)
     try:
         for host_id in list(cluster.balancers):
-            revision = cluster.revision(host_id)
             assert cluster.restart_balancer(host_id) == 0, cluster.log(host_id)
-            assert cluster.revision(host_id) >= revision
             wait_steps(context, 50)
     finally:
         cluster.store_faults(away=False)
