--- a/src/wisteriatiller/grantors.py
+++ b/src/wisteriatiller/grantors.py
@@ -176,7 +176,10 @@
             grant.released[sender] = max(epoch, grant.released.get(sender, 0))
             if grant.holder == sender and grant.epoch <= epoch:
                 grant.expires_s = 0.0
-                grant.reserved_until_s = self._now_s() + RESERVED_S
+                if (grant.held_epoch, grant.held_by) == (epoch, sender):
+                    # A candidate that gives back what it got in vain reserves
+                    # nothing: its tries would keep all others out.
+                    grant.reserved_until_s = self._now_s() + RESERVED_S
         return LeaseReleased()
 
     def _now_s(self) -> float:
