Split the SWIM membership into modules of one job each

swim keeps SwimMembership, the life of the host and the stall check. The protocol is unchanged.

The log lines of these modules go through log_event. log_event_limited replaces absl's rate limit, which counts per call site, with one per event name.

The membership steps reach the parts where they now are; what they check is the same.

--- a/src/wisteriatiller/gossip.py
+++ b/src/wisteriatiller/gossip.py
@@ -61,6 +61,16 @@
     return Entry(key, version, packed, value, bucket, check)
 
 
+def first_fitting(entries: list[Entry], budget_bytes: int) -> list[Entry]:
+    """The first entries that fit, at least one if there is any."""
+    size_bytes = 0
+    for index, entry in enumerate(entries):
+        size_bytes += entry.size_bytes
+        if size_bytes > budget_bytes and index:
+            return entries[:index]
+    return entries
+
+
 class GossipState:
     """All entries of one host, with the sums that compare them."""
 
--- a/src/wisteriatiller/gossipwire.py
+++ b/src/wisteriatiller/gossipwire.py
@@ -18,6 +18,8 @@
 MAX_DATAGRAM_BYTES = 1400
 # Digest, message header, sender and fixed fields of a datagram with updates.
 FIXED_BYTES = 120
+# What is left of a datagram for updates.
+UPDATES_BYTES = MAX_DATAGRAM_BYTES - FIXED_BYTES
 
 
 @message(20)
--- /dev/null
+++ b/src/wisteriatiller/listeners.py
@@ -0,0 +1,19 @@
+"""Calls of listeners whose faults must not stop a protocol."""
+
+from collections.abc import Callable
+
+from .exceptions import InvariantBroken
+from .logs import log_event
+from .ports import Metrics
+from .tasks import stop_process
+
+
+def call_listener(metrics: Metrics, listener: Callable, *details: object) -> None:
+    """Call a listener of the membership; only a broken invariant stops the process."""
+    try:
+        listener(*details)
+    except InvariantBroken as error:
+        stop_process(error)
+    except Exception as error:
+        metrics.count("membership.listener_errors")
+        log_event("listener_failed", level="error", exc_info=error)
--- a/src/wisteriatiller/logs.py
+++ b/src/wisteriatiller/logs.py
@@ -22,10 +22,30 @@
 }
 
 
-def log_event(event: str, level: str = "info", **pairs: object) -> None:
+_last_logged_s: dict[str, float] = {}
+
+
+def log_event(
+    event: str,
+    level: str = "info",
+    exc_info: BaseException | None = None,
+    **pairs: object,
+) -> None:
     """Write one event; values are quoted where a reader could not split them."""
     if logging.get_verbosity() >= _LEVELS[level]:
-        logging.log(_LEVELS[level], "%s", event_line(event, **pairs))
+        line = event_line(event, **pairs)
+        logging.log(_LEVELS[level], "%s", line, exc_info=exc_info)
+
+
+def log_event_limited(
+    event: str, interval_s: float, level: str = "info", **pairs: object
+) -> None:
+    """Write an event that outsiders can cause, at most once each interval."""
+    now_s = time.monotonic()
+    last_s = _last_logged_s.get(event)
+    if last_s is None or now_s - last_s >= interval_s:
+        _last_logged_s[event] = now_s
+        log_event(event, level, **pairs)
 
 
 def event_line(event: str, **pairs: object) -> str:
--- /dev/null
+++ b/src/wisteriatiller/swimcompare.py
@@ -0,0 +1,213 @@
+"""Comparisons of the gossip entries of two hosts, mostly of different zones."""
+
+import asyncio
+
+from .environment import Environment
+from .gossip import Entry, first_fitting
+from .gossipwire import (
+    UPDATES_BYTES,
+    Ack,
+    Digest,
+    DigestReply,
+    Ping,
+    Push,
+    StateEntries,
+    Versions,
+)
+from .ids import Address, HostId
+from .swimentries import GossipEntries
+from .swimhosts import HostTable, KnownHost
+from .swimlink import GossipLink, PendingNonces
+from .swimzones import ZoneContact
+
+COMPARE_INTERVAL_S = 1.0
+MAX_EXCHANGE_DATAGRAMS = 8
+MAX_ENTRIES_BYTES = 256 * 1024
+
+
+class Comparisons:
+    """Compares entries with other hosts, and exchanges those that differ.
+
+    The answers show which zones are reachable. The first answer also means that
+    this host has the state of another one, which sets ``joined``.
+    """
+
+    def __init__(
+        self,
+        environment: Environment,
+        link: GossipLink,
+        hosts: HostTable,
+        zones: ZoneContact,
+        entries: GossipEntries,
+    ):
+        self.joined = asyncio.Event()
+        self._host_id = environment.settings.host_id
+        self._random = environment.random
+        self._metrics = environment.metrics
+        self._link = link
+        self._hosts = hosts
+        self._zones = zones
+        self._entries = entries
+        # The zones asked, by nonce.
+        self._comparisons = PendingNonces(environment)
+        self._zone_pings = PendingNonces(environment)
+
+    async def run(self) -> None:
+        """Compare with a random host once each interval."""
+        await asyncio.sleep(self._random.uniform(0, COMPARE_INTERVAL_S))
+        while True:
+            self.compare_with(self._zones.random_partner())
+            await asyncio.sleep(COMPARE_INTERVAL_S)
+
+    def compare_with(self, host: KnownHost | None, joining: bool = False) -> None:
+        """Start a comparison; a joining host introduces itself with it."""
+        if host is None or self._comparisons.is_full:
+            return
+        nonce = self._comparisons.add(host.zone)
+        entries = self._entries.about(host) + (self._entries.own() if joining else [])
+        updates = self._entries.encode(entries)
+        digest = Digest(self._host_id, nonce, self._entries.state.root, updates)
+        self._link.send(host.address, digest)
+
+    def check_zones(self) -> None:
+        """Find out which zones are silent, and contact them."""
+        self._zones.check(contact_cut=self.compare_with, contact_quiet=self._ping)
+
+    def drop_old_nonces(self) -> None:
+        self._comparisons.drop_old()
+        self._zone_pings.drop_old()
+
+    def on_ack(self, ack: Ack) -> None:
+        zone = self._zone_pings.pop(ack.nonce)
+        if zone is not None:
+            self._zones.hear_from(zone)
+
+    def on_digest(self, digest: Digest, source: Address) -> None:
+        sender = self._hosts.get(digest.sender)
+        same = digest.root == self._entries.state.root
+        sums = b"" if same else self._entries.state.bucket_sums()
+        updates = self._entries.encode(self._entries.about(sender))
+        reply = DigestReply(self._host_id, digest.nonce, sums, updates)
+        self._link.send(source, reply)
+        if sender is not None and self._zones.is_cut(sender.zone):
+            # What reaches us may be the first sign that the cut is over.
+            self.compare_with(sender)
+
+    def on_digest_reply(self, reply: DigestReply, source: Address) -> None:
+        zone = self._comparisons.get(reply.nonce)
+        if zone is None:
+            return
+        self._zones.hear_from(zone)
+        if not reply.sums:
+            self.joined.set()
+            return
+        try:
+            buckets = self._entries.state.differing_buckets(reply.sums)
+        except ValueError:
+            self._metrics.count("membership.dropped_datagrams")
+            return
+        self._send_versions(reply.sender, source, reply.nonce, buckets)
+
+    def on_versions(self, received: Versions, source: Address) -> None:
+        try:
+            newer, wanted = self._entries.state.compare(
+                received.buckets, received.versions
+            )
+        except (ValueError, TypeError, IndexError):
+            self._metrics.count("membership.dropped_datagrams")
+            return
+        self._send_entries(received.sender, source, newer, received.nonce)
+        self._ask_for(source, tuple(wanted), received.nonce)
+
+    def on_streamed_versions(self, sender: HostId, versions: Versions) -> None:
+        host = self._hosts.get(sender)
+        if host is not None and not self._entries.closed:
+            self.on_versions(versions, host.address)
+
+    def on_push(self, push: Push, source: Address) -> None:
+        if push.nonce in self._comparisons:
+            self.joined.set()
+        wanted = [
+            entry
+            for key in push.wanted
+            if isinstance(key, str)
+            and (entry := self._entries.get(key)) is not None
+            and not entry.hidden
+        ]
+        if wanted:
+            self._send_entries(push.sender, source, wanted, 0)
+
+    def on_state_entries(self, sender: HostId, entries: StateEntries) -> None:
+        if self._entries.closed:
+            return
+        # What comes in bulk is known to others, who find it by comparison too.
+        # Spreading it would occupy the datagrams for minutes.
+        self._entries.take_updates(entries.updates, spread=False)
+        if entries.nonce in self._comparisons:
+            self.joined.set()
+
+    def _ping(self, host: KnownHost) -> None:
+        """Ask a host of another zone for a sign of life only."""
+        nonce = self._zone_pings.add(host.zone)
+        updates = self._entries.encode(self._entries.about(host))
+        self._link.send(host.address, Ping(self._host_id, nonce, updates))
+
+    def _send_versions(
+        self, host_id: HostId, address: Address, nonce: int, buckets: list[int]
+    ) -> None:
+        """Send the versions in buckets that differ, in as few datagrams as fit."""
+        parts: list[tuple[list[int], list]] = [([], [])]
+        size_bytes = 0
+        streamed = False
+        for bucket in buckets:
+            versions = self._entries.state.versions(bucket)
+            bucket_bytes = 2 + sum(len(key) + 20 for key, _, _ in versions)
+            streamed = streamed or bucket_bytes > UPDATES_BYTES
+            if size_bytes + bucket_bytes > UPDATES_BYTES:
+                parts.append(([], []))
+                size_bytes = 0
+            size_bytes += bucket_bytes
+            parts[-1][0].append(bucket)
+            parts[-1][1].extend(versions)
+        if streamed or len(parts) > MAX_EXCHANGE_DATAGRAMS:
+            versions = tuple(item for part in parts for item in part[1])
+            value = Versions(self._host_id, nonce, bytes(buckets), versions)
+            self._link.send_stream(host_id, value)
+            return
+        for part_buckets, versions in parts:
+            value = Versions(self._host_id, nonce, bytes(part_buckets), tuple(versions))
+            self._link.send(address, value)
+
+    def _send_entries(
+        self, host_id: HostId, address: Address, entries: list[Entry], nonce: int
+    ) -> None:
+        """Send entries in datagrams, or over the peer streams if they are many."""
+        size_bytes = sum(entry.size_bytes for entry in entries)
+        largest = max((entry.size_bytes for entry in entries), default=0)
+        streamed = largest > UPDATES_BYTES or (
+            size_bytes > MAX_EXCHANGE_DATAGRAMS * UPDATES_BYTES
+        )
+        part_bytes = MAX_ENTRIES_BYTES if streamed else UPDATES_BYTES
+        while entries:
+            part = first_fitting(entries, part_bytes)
+            entries = entries[len(part) :]
+            updates = self._entries.encode(part)
+            if streamed:
+                self._link.send_stream(host_id, StateEntries(nonce, updates))
+            else:
+                self._link.send(address, Push(self._host_id, nonce, updates, ()))
+
+    def _ask_for(self, address: Address, wanted: tuple[str, ...], nonce: int) -> None:
+        while wanted:
+            part = _first_fitting_keys(wanted)
+            wanted = wanted[len(part) :]
+            self._link.send(address, Push(self._host_id, nonce, (), part))
+
+
+def _first_fitting_keys(keys: tuple[str, ...]) -> tuple[str, ...]:
+    size_bytes = 0
+    for index, key in enumerate(keys):
+        size_bytes += len(key.encode()) + 3
+        if size_bytes > UPDATES_BYTES and index:
+            return keys[:index]
+    return keys
--- /dev/null
+++ b/src/wisteriatiller/swimentries.py
@@ -0,0 +1,212 @@
+"""The gossip entries of this host: what it knows, learns and says of itself."""
+
+from collections.abc import Callable, Iterable
+
+import msgpack
+
+from .environment import Environment
+from .gossip import (
+    MAX_KEY_BYTES,
+    MAX_VALUE_BYTES,
+    MAX_VERSION,
+    Entry,
+    GossipState,
+    UpdateQueue,
+    make_entry,
+)
+from .gossipwire import UPDATES_BYTES
+from .ids import HostId
+from .listeners import call_listener
+from .logs import log_event_limited
+from .membership import GossipListener
+from .swimhosts import (
+    ALIVE,
+    DEAD,
+    DEAD_FORGET_S,
+    DEAD_HIDE_S,
+    HOST_PREFIX,
+    HostTable,
+    KnownHost,
+    host_of,
+    host_version,
+)
+from .swimlink import DROP_LOG_INTERVAL_S, GossipLink
+from .swimzones import ZoneContact
+
+
+class GossipEntries:
+    """Takes entries from others, and keeps this host's own entry in front."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        link: GossipLink,
+        hosts: HostTable,
+        zones: ZoneContact,
+    ):
+        self.state = GossipState()
+        self.incarnation = 1
+        self.leaving = False
+        self.closed = False
+        # Called with the key of each entry that is to be spread.
+        self.on_news: Callable[[str], None] = lambda key: None
+        self._host_id = environment.settings.host_id
+        self._zone = environment.settings.zone
+        self._clock = environment.clock
+        self._metrics = environment.metrics
+        self._link = link
+        self._hosts = hosts
+        self._zones = zones
+        self._queue = UpdateQueue()
+        self._listeners: list[tuple[str, GossipListener]] = []
+
+    def get(self, key: str) -> Entry | None:
+        return self.state.entries.get(key)
+
+    def subscribe(self, prefix: str, listener: GossipListener) -> None:
+        self._listeners.append((prefix, listener))
+
+    def publish(self, key: str, version: int, value: object) -> None:
+        """Store and spread a value that is not about a host."""
+        if key.startswith(HOST_PREFIX):
+            raise ValueError("host entries are published by the hosts themselves")
+        packed = msgpack.packb(value)
+        if len(packed) > MAX_VALUE_BYTES or len(key.encode()) > MAX_KEY_BYTES:
+            raise ValueError(f"gossip value of {key!r} is too large")
+        if self.state.is_newer(key, version, packed):
+            self._store(make_entry(key, version, packed), spread=True)
+
+    # Entries of hosts.
+
+    def announce(self, rank: int = ALIVE) -> None:
+        """Spread this host's entry in its present incarnation."""
+        self.put_host(self._host_id, host_version(self.incarnation, rank))
+
+    def put_host(self, host_id: HostId, version: int) -> None:
+        """Change the version of a host's entry; build the value for this host."""
+        key = HOST_PREFIX + host_id
+        if host_id == self._host_id:
+            packed = msgpack.packb([self._zone, *self._link.address, self.leaving])
+        else:
+            packed = self.state.entries[key].packed
+        entry = make_entry(key, version, packed)
+        self._take_host(entry, KnownHost(host_id, version, entry.value), spread=True)
+
+    def own(self) -> list[Entry]:
+        return [self.state.entries[HOST_PREFIX + self._host_id]]
+
+    def about(self, host: KnownHost | None) -> list[Entry]:
+        """The entry that a host has to refute, if there is one."""
+        if host is None or host.rank == ALIVE:
+            return []
+        return [self.state.entries[HOST_PREFIX + host.host_id]]
+
+    def forget_old_dead(self) -> None:
+        """Hide, and later forget, the entries of hosts that died long ago."""
+        now_s = self._clock.now_s()
+        for host_id in tuple(self._hosts.dead):
+            host = self._hosts[host_id]
+            age_s = now_s - host.dead_since_s
+            if age_s >= DEAD_FORGET_S:
+                self._hosts.remove(host)
+                self.state.forget(HOST_PREFIX + host_id)
+            elif age_s >= DEAD_HIDE_S:
+                self.state.hide(HOST_PREFIX + host_id)
+
+    # Updates from and to others.
+
+    def take_updates(self, updates: Iterable, spread: bool) -> None:
+        """Apply updates from another host; malformed ones are dropped."""
+        for update in updates:
+            try:
+                read = self._read_update(update)
+            except (ValueError, TypeError) as error:
+                self._metrics.count("membership.dropped_malformed_update")
+                log_event_limited(
+                    "update_dropped",
+                    DROP_LOG_INTERVAL_S,
+                    level="warning",
+                    detail=error,
+                )
+                continue
+            if read is not None:
+                entry, host, age_s = read
+                if host is None:
+                    self._store(entry, spread)
+                elif host.host_id == self._host_id:
+                    self._refute(host)
+                else:
+                    self._take_host(entry, host, spread, age_s)
+
+    def encode(self, entries: Iterable[Entry]) -> tuple:
+        """Entries as updates, with the age of dead hosts."""
+        updates = []
+        for entry in entries:
+            age_ms = 0
+            if entry.key.startswith(HOST_PREFIX):
+                host = self._hosts[host_of(entry.key)]
+                if host.rank == DEAD:
+                    age_ms = int((self._clock.now_s() - host.dead_since_s) * 1000)
+            updates.append((entry.key, entry.version, entry.packed, age_ms))
+        return tuple(updates)
+
+    def with_recent(self, entries: list[Entry]) -> tuple:
+        """Entries as updates, filled up with recent ones to one datagram."""
+        budget_bytes = UPDATES_BYTES - sum(entry.size_bytes for entry in entries)
+        return self.encode(entries + self._queue.take(self.state, budget_bytes))
+
+    def piggyback(self, target: KnownHost) -> tuple:
+        """Updates for a datagram to, or about, a host of this zone.
+
+        A host that is suspected or dead here is told so, since it has to refute it.
+        """
+        return self.with_recent(self.about(target))
+
+    def _read_update(self, update) -> tuple[Entry, KnownHost | None, float] | None:
+        """Check an update and decode it if it is news."""
+        key, version, packed, age_ms = update
+        if not (
+            isinstance(key, str)
+            and type(version) is int
+            and 0 <= version <= MAX_VERSION
+            and isinstance(packed, bytes)
+            and type(age_ms) is int
+        ):
+            raise ValueError("update with fields of the wrong type")
+        if not self.state.is_newer(key, version, packed):
+            return None
+        if len(key) > MAX_KEY_BYTES or len(packed) > MAX_VALUE_BYTES:
+            raise ValueError("update is too large")
+        entry = make_entry(key, version, packed)
+        host = None
+        if key.startswith(HOST_PREFIX):
+            host = KnownHost(host_of(key), version, entry.value)
+        return entry, host, age_ms / 1000
+
+    def _refute(self, host: KnownHost) -> None:
+        """Outrank what others say about this host, or said about a former process."""
+        if not self.closed:
+            self._metrics.count("membership.refutations")
+            self.incarnation = max(self.incarnation, host.incarnation) + 1
+            self.announce()
+
+    def _take_host(
+        self, entry: Entry, host: KnownHost, spread: bool, age_s: float = 0.0
+    ) -> None:
+        is_new = host.host_id not in self._hosts
+        if host.rank == DEAD and is_new and age_s >= DEAD_HIDE_S:
+            return
+        self._hosts.put(host, entry.version, age_s)
+        self._zones.learn(host.zone)
+        self._store(entry, spread)
+
+    def _store(self, entry: Entry, spread: bool) -> None:
+        self.state.put(entry)
+        if spread and entry.size_bytes <= UPDATES_BYTES:
+            self._queue.add(entry.key, len(self._hosts.present(self._zone)))
+            self.on_news(entry.key)
+        for prefix, listener in self._listeners:
+            if entry.key.startswith(prefix):
+                call_listener(
+                    self._metrics, listener, entry.key, entry.version, entry.value
+                )
--- /dev/null
+++ b/src/wisteriatiller/swimhosts.py
@@ -0,0 +1,197 @@
+"""The hosts that this host knows, with their states and suspicions."""
+
+from collections.abc import Iterator
+
+from .environment import Environment
+from .ids import Address, HostId, ZoneId
+from .logs import log_event
+from .membership import HostState
+
+SUSPICION_S = 2.0
+# A host that only heard of a suspicion leaves it to the suspecting host for this much
+# longer, and then probes for itself. A late refutation thus kills nobody.
+HEARD_SUSPICION_S = SUSPICION_S + 1.0
+DEAD_FORGET_S = 600.0
+# Half the time a dead entry is kept, it only guards against older news. Otherwise
+# hosts that forget it at slightly different times would tell each other again.
+DEAD_HIDE_S = DEAD_FORGET_S / 2
+
+HOST_PREFIX = "host/"
+
+# A host entry's version is its incarnation times four plus one of these, so that a
+# suspicion or death outranks life in the same incarnation only.
+ALIVE, SUSPECT, DEAD = 0, 1, 2
+_RANKS = 4
+
+
+def host_version(incarnation: int, rank: int) -> int:
+    """The version of a host entry."""
+    return incarnation * _RANKS + rank
+
+
+def host_of(key: str) -> HostId:
+    """The host that a key with ``HOST_PREFIX`` is about."""
+    return HostId(key[len(HOST_PREFIX) :])
+
+
+class KnownHost:
+    """A known host, decoded from its entry."""
+
+    __slots__ = (
+        "address",
+        "dead_since_s",
+        "host_id",
+        "incarnation",
+        "leaving",
+        "rank",
+        "zone",
+    )
+
+    def __init__(self, host_id: HostId, version: int, value: object):
+        zone, ip, port, leaving = value
+        if not (
+            isinstance(zone, str)
+            and isinstance(ip, str)
+            and type(port) is int
+            and 0 < port < 65536
+            and type(leaving) is bool
+            and version % _RANKS <= DEAD
+        ):
+            raise ValueError(f"malformed entry of host {host_id!r}")
+        self.host_id = host_id
+        self.zone = ZoneId(zone)
+        self.address = Address(ip, port)
+        self.leaving = leaving
+        self.incarnation, self.rank = divmod(version, _RANKS)
+        self.dead_since_s = 0.0
+
+    @property
+    def state(self) -> HostState:
+        if self.rank == DEAD:
+            return HostState.DEAD
+        if self.leaving:
+            return HostState.LEAVING
+        return HostState.SUSPECT if self.rank == SUSPECT else HostState.ALIVE
+
+
+class Suspicion:
+    """A suspected host and the time at which this host acts on it."""
+
+    __slots__ = ("deadline_s", "own", "version")
+
+    def __init__(self, version: int, deadline_s: float, own: bool):
+        self.version = version
+        self.deadline_s = deadline_s
+        # Whether this host found out by its own probes.
+        self.own = own
+
+
+class HostTable:
+    """Known hosts by id and by zone, and the suspicions in this host's zone."""
+
+    def __init__(self, environment: Environment):
+        self.suspicions: dict[HostId, Suspicion] = {}
+        self.dead: dict[HostId, None] = {}
+        self._host_id = environment.settings.host_id
+        self._zone = environment.settings.zone
+        self._clock = environment.clock
+        self._metrics = environment.metrics
+        self._hosts: dict[HostId, KnownHost] = {}
+        self._by_zone: dict[ZoneId, dict[HostId, KnownHost]] = {}
+        self._live_cache: dict[ZoneId, tuple[HostId, ...]] = {}
+        self._present_cache: dict[ZoneId, tuple[KnownHost, ...]] = {}
+
+    def __contains__(self, host_id: HostId) -> bool:
+        return host_id in self._hosts
+
+    def __getitem__(self, host_id: HostId) -> KnownHost:
+        return self._hosts[host_id]
+
+    def __iter__(self) -> Iterator[KnownHost]:
+        return iter(self._hosts.values())
+
+    def get(self, host_id: HostId) -> KnownHost | None:
+        return self._hosts.get(host_id)
+
+    def live(self, zone: ZoneId) -> tuple[HostId, ...]:
+        """Hosts of the zone that are neither dead nor leaving."""
+        live = self._live_cache.get(zone)
+        if live is None:
+            live = self._live_cache[zone] = tuple(
+                host.host_id for host in self.present(zone) if not host.leaving
+            )
+        return live
+
+    def present(self, zone: ZoneId) -> tuple[KnownHost, ...]:
+        """Hosts of the zone that are not dead, in a stable order."""
+        present = self._present_cache.get(zone)
+        if present is None:
+            known = self._by_zone.get(zone, {}).values()
+            hosts = [host for host in known if host.rank != DEAD]
+            hosts.sort(key=lambda host: host.host_id)
+            present = self._present_cache[zone] = tuple(hosts)
+        return present
+
+    def zone_peers(self) -> list[KnownHost]:
+        """The other hosts of this host's zone that are not dead."""
+        return [
+            host for host in self.present(self._zone) if host.host_id != self._host_id
+        ]
+
+    def put(self, host: KnownHost, version: int, age_s: float) -> None:
+        """Take a host in place of what was known of it; a dead one has an age."""
+        former = self._hosts.get(host.host_id)
+        if host.rank == DEAD:
+            host.dead_since_s = self._clock.now_s() - age_s
+            self.dead[host.host_id] = None
+        else:
+            self.dead.pop(host.host_id, None)
+        if former is not None:
+            self._drop_from_zone(former)
+        self._hosts[host.host_id] = host
+        self._by_zone.setdefault(host.zone, {})[host.host_id] = host
+        self._drop_caches(host.zone)
+        self._follow_suspicion(host, version)
+        self._log_change(host, former)
+
+    def remove(self, host: KnownHost) -> None:
+        """Forget a dead host."""
+        self._drop_from_zone(host)
+        del self._hosts[host.host_id]
+        del self.dead[host.host_id]
+
+    def restart_suspicions(self) -> None:
+        """Treat every suspicion as one that this host has only just heard of."""
+        deadline_s = self._clock.now_s() + HEARD_SUSPICION_S
+        for suspicion in self.suspicions.values():
+            suspicion.own = False
+            suspicion.deadline_s = deadline_s
+
+    def _drop_from_zone(self, host: KnownHost) -> None:
+        del self._by_zone[host.zone][host.host_id]
+        self._drop_caches(host.zone)
+
+    def _drop_caches(self, zone: ZoneId) -> None:
+        self._live_cache.pop(zone, None)
+        self._present_cache.pop(zone, None)
+
+    def _follow_suspicion(self, host: KnownHost, version: int) -> None:
+        if host.rank != SUSPECT or host.zone != self._zone:
+            self.suspicions.pop(host.host_id, None)
+            return
+        suspicion = self.suspicions.get(host.host_id)
+        if suspicion is None or suspicion.version != version:
+            self.suspicions[host.host_id] = Suspicion(
+                version, self._clock.now_s() + HEARD_SUSPICION_S, own=False
+            )
+
+    def _log_change(self, host: KnownHost, former: KnownHost | None) -> None:
+        if former is None or former.state != host.state:
+            self._metrics.count(f"membership.became_{host.state.value}")
+            log_event(
+                "host_state",
+                host=host.host_id,
+                zone=host.zone,
+                state=host.state.value,
+                incarnation=host.incarnation,
+            )
--- /dev/null
+++ b/src/wisteriatiller/swimlink.py
@@ -0,0 +1,117 @@
+"""The datagrams of the membership protocol, and the nonces that answers carry."""
+
+from collections.abc import Container
+
+from .environment import Environment
+from .exceptions import MessageError
+from .gossipwire import seal, unseal
+from .ids import Address, HostId
+from .logs import log_event_limited
+from .messages import Message
+from .ports import DatagramPort
+from .swimzones import ZONE_TIMEOUT_S
+
+MAX_NONCES = 4096
+DROP_LOG_INTERVAL_S = 10
+
+
+class GossipLink:
+    """Sends and reads the messages of the membership protocol."""
+
+    def __init__(self, environment: Environment):
+        self.address = environment.settings.peer_listen
+        self._environment = environment
+        self._keys = environment.settings.peer_keys
+        self._metrics = environment.metrics
+        self._port: DatagramPort | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the socket was opened; it stays true after ``close``."""
+        return self._port is not None
+
+    async def open(self, receive) -> None:
+        """Open the socket; ``receive(data, source)`` gets each datagram."""
+        self._port = await self._environment.datagrams.open(self.address, receive)
+        self.address = getattr(self._port, "address", self.address)
+
+    def close(self) -> None:
+        if self._port is not None:
+            self._port.close()
+
+    def send(self, address: Address, value: Message) -> None:
+        data = seal(self._keys, address, value)
+        self._metrics.count("membership.datagrams_sent")
+        self._metrics.count("membership.bytes_sent", len(data))
+        self._port.send(data, address)
+
+    def send_stream(self, host_id: HostId, value: Message) -> None:
+        """Send what is too long for datagrams over the peer streams."""
+        self._metrics.count("membership.stream_messages_sent")
+        self._environment.peers.send(host_id, value)
+
+    def read(
+        self, data: bytes, source: Address, kinds: Container[type]
+    ) -> Message | None:
+        """Read a datagram; None if it is not genuine or of none of the kinds."""
+        self._metrics.count("membership.datagrams_received")
+        self._metrics.count("membership.bytes_received", len(data))
+        try:
+            received = unseal(self._keys, self.address, data)
+            if type(received) not in kinds:
+                raise MessageError(f"{type(received).__name__} in a datagram")
+        except MessageError as error:
+            self._metrics.count("membership.dropped_datagrams")
+            log_event_limited(
+                "datagram_dropped",
+                DROP_LOG_INTERVAL_S,
+                level="warning",
+                source=source,
+                detail=error,
+            )
+            return None
+        return received
+
+
+class PendingNonces:
+    """What was sent and waits for an answer, by nonce."""
+
+    def __init__(self, environment: Environment):
+        self._clock = environment.clock
+        self._random = environment.random
+        # Dictionaries keep the order of insertion, so the oldest come first.
+        self._pending: dict[int, tuple[object, float]] = {}
+
+    def __contains__(self, nonce: int) -> bool:
+        return nonce in self._pending
+
+    @property
+    def is_full(self) -> bool:
+        return len(self._pending) >= MAX_NONCES
+
+    def add(self, detail: object) -> int:
+        """A new nonce that stands for ``detail``."""
+        nonce = new_nonce(self._random)
+        self._pending[nonce] = (detail, self._clock.now_s())
+        return nonce
+
+    def get(self, nonce: int):
+        detail, _ = self._pending.get(nonce, (None, 0.0))
+        return detail
+
+    def pop(self, nonce: int):
+        detail, _ = self._pending.pop(nonce, (None, 0.0))
+        return detail
+
+    def drop_old(self) -> None:
+        oldest_s = self._clock.now_s() - ZONE_TIMEOUT_S
+        while self._pending:
+            nonce = next(iter(self._pending))
+            if self._pending[nonce][1] >= oldest_s:
+                return
+            del self._pending[nonce]
+
+
+def new_nonce(random) -> int:
+    # Not 0, which stands for no nonce.
+    return random.getrandbits(48) + 1
--- /dev/null
+++ b/src/wisteriatiller/swimprobes.py
@@ -0,0 +1,186 @@
+"""Probes of the hosts of the own zone, and the suspicions that follow from them."""
+
+import asyncio
+from collections.abc import Callable
+
+from .environment import Environment
+from .gossipwire import Ack, Ping, ProbeRequest, Push
+from .ids import Address, HostId
+from .swimentries import GossipEntries
+from .swimhosts import (
+    ALIVE,
+    DEAD,
+    HOST_PREFIX,
+    SUSPECT,
+    SUSPICION_S,
+    HostTable,
+    KnownHost,
+    host_version,
+)
+from .swimlink import GossipLink, PendingNonces, new_nonce
+
+PROBE_INTERVAL_S = 0.5
+ACK_TIMEOUT_S = 0.2
+INDIRECT_PROBES = 3
+
+
+class Prober:
+    """Probes one host after the other, and answers the probes of others.
+
+    ``check_stall`` tells whether this host itself did not run, in which case a
+    missing answer says nothing about the probed host.
+    """
+
+    def __init__(
+        self,
+        environment: Environment,
+        link: GossipLink,
+        hosts: HostTable,
+        entries: GossipEntries,
+        check_stall: Callable[[], bool],
+    ):
+        self._host_id = environment.settings.host_id
+        self._zone = environment.settings.zone
+        self._clock = environment.clock
+        self._random = environment.random
+        self._link = link
+        self._hosts = hosts
+        self._entries = entries
+        self._check_stall = check_stall
+        # Waiting probes by nonce; pings sent for another host, with its address
+        # and nonce.
+        self._answers: dict[int, asyncio.Future] = {}
+        self._relays = PendingNonces(environment)
+        self._probe_order: list[HostId] = []
+
+    async def run(self) -> None:
+        """Probe a host each interval."""
+        await asyncio.sleep(self._random.uniform(0, PROBE_INTERVAL_S))
+        while True:
+            target = self._next_target()
+            if target is None:
+                await asyncio.sleep(PROBE_INTERVAL_S)
+            else:
+                await self._probe(target)
+
+    def excuse_waiting(self) -> None:
+        """Count the waiting probes as answered, since this host was away."""
+        for answer in self._answers.values():
+            if not answer.done():
+                answer.set_result(None)
+
+    def check_suspicions(self) -> None:
+        """Act on the suspicions whose time is up; probe the suspected hosts."""
+        now_s = self._clock.now_s()
+        for host_id, suspicion in tuple(self._hosts.suspicions.items()):
+            host = self._hosts[host_id]
+            if now_s >= suspicion.deadline_s and suspicion.own:
+                del self._hosts.suspicions[host_id]
+                self._entries.put_host(host_id, host_version(host.incarnation, DEAD))
+                continue
+            if now_s >= suspicion.deadline_s:
+                self._suspect(host_id)
+            if suspicion.own:
+                # The suspected host answers with its refutation.
+                nonce = new_nonce(self._random)
+                self._ping(host, nonce)
+                self._probe_indirectly(host, nonce)
+
+    def drop_old_nonces(self) -> None:
+        self._relays.drop_old()
+
+    def on_ping(self, ping: Ping, source: Address) -> None:
+        updates = self._reply_updates(ping)
+        self._link.send(source, Ack(self._host_id, ping.nonce, updates))
+        if ping.sender not in self._hosts:
+            wanted = (HOST_PREFIX + ping.sender,)
+            self._link.send(source, Push(self._host_id, 0, (), wanted))
+
+    def on_ack(self, ack: Ack) -> None:
+        answer = self._answers.get(ack.nonce)
+        if answer is not None and not answer.done():
+            answer.set_result(None)
+        relay = self._relays.pop(ack.nonce)
+        if relay is not None:
+            requester, nonce = relay
+            # The target's entry goes along, as it may refute the requester's view.
+            entry = self._entries.get(HOST_PREFIX + ack.sender)
+            updates = self._entries.encode([entry] if entry else [])
+            self._link.send(requester, Ack(self._host_id, nonce, updates))
+
+    def on_probe_request(self, request: ProbeRequest, source: Address) -> None:
+        target = self._hosts.get(request.target)
+        if target is None or self._relays.is_full:
+            return
+        self._ping(target, self._relays.add((source, request.nonce)))
+
+    def _next_target(self) -> KnownHost | None:
+        """The next host of a shuffled round over the zone.
+
+        A round bounds the time until a host is probed, which drawing anew each time
+        would not.
+        """
+        while self._probe_order:
+            host = self._hosts.get(self._probe_order.pop())
+            if host is not None and host.rank != DEAD and host.zone == self._zone:
+                return host
+        self._probe_order = [host.host_id for host in self._hosts.zone_peers()]
+        self._random.shuffle(self._probe_order)
+        return self._hosts[self._probe_order.pop()] if self._probe_order else None
+
+    async def _probe(self, target: KnownHost) -> None:
+        """Probe a host for one interval; suspect it if nothing came back."""
+        nonce = new_nonce(self._random)
+        answer = asyncio.get_running_loop().create_future()
+        self._answers[nonce] = answer
+        try:
+            self._ping(target, nonce)
+            await asyncio.sleep(ACK_TIMEOUT_S)
+            if not answer.done():
+                self._probe_indirectly(target, nonce)
+            await asyncio.sleep(PROBE_INTERVAL_S - ACK_TIMEOUT_S)
+        finally:
+            del self._answers[nonce]
+        if not answer.done() and not self._check_stall():
+            self._suspect(target.host_id)
+
+    def _ping(self, host: KnownHost, nonce: int) -> None:
+        updates = self._entries.piggyback(host)
+        self._link.send(host.address, Ping(self._host_id, nonce, updates))
+
+    def _probe_indirectly(self, target: KnownHost, nonce: int) -> None:
+        peers = self._hosts.zone_peers()
+        helpers = [host for host in peers if host.host_id != target.host_id]
+        for helper in self._random.sample(helpers, min(INDIRECT_PROBES, len(helpers))):
+            updates = self._entries.piggyback(target)
+            request = ProbeRequest(self._host_id, nonce, target.host_id, updates)
+            self._link.send(helper.address, request)
+
+    def _suspect(self, host_id: HostId) -> None:
+        """Start or take over the suspicion of a host that did not answer."""
+        host = self._hosts.get(host_id)
+        if host is None or host.rank == DEAD:
+            return
+        if host.rank == ALIVE:
+            self._entries.put_host(host_id, host_version(host.incarnation, SUSPECT))
+        suspicion = self._hosts.suspicions.get(host_id)
+        if suspicion is not None and not suspicion.own:
+            suspicion.own = True
+            suspicion.deadline_s = self._clock.now_s() + SUSPICION_S
+
+    def _reply_updates(self, ping: Ping) -> tuple:
+        """Updates for the sender of a probe, with what it has to refute.
+
+        If the sender told us about ourselves, the answer carries our own entry.
+        """
+        sender = self._hosts.get(ping.sender)
+        entries = self._entries.about(sender)
+        own_key = HOST_PREFIX + self._host_id
+        if any(
+            isinstance(update, tuple) and update[:1] == (own_key,)
+            for update in ping.updates
+        ):
+            entries = entries + self._entries.own()
+        if sender is None or sender.zone != self._zone:
+            return self._entries.encode(entries)
+        return self._entries.with_recent(entries)
--- /dev/null
+++ b/src/wisteriatiller/swimzones.py
@@ -0,0 +1,106 @@
+"""Which other zones this host hears from."""
+
+from collections.abc import Callable
+
+from .environment import Environment
+from .ids import ZoneId
+from .listeners import call_listener
+from .logs import log_event
+from .swimhosts import HostTable, KnownHost
+
+ZONE_TIMEOUT_S = 5.0
+# A zone that was silent for this long is pinged at each tick, so that a false verdict
+# after ZONE_TIMEOUT_S needs a dozen lost exchanges in a row.
+ZONE_QUIET_S = 2.0
+
+ZoneListener = Callable[[ZoneId, bool], None]
+
+
+class ZoneContact:
+    """When each other zone was last heard, and which are cut off."""
+
+    def __init__(self, environment: Environment, hosts: HostTable):
+        self._zone = environment.settings.zone
+        self._clock = environment.clock
+        self._random = environment.random
+        self._metrics = environment.metrics
+        self._hosts = hosts
+        self._heard_s: dict[ZoneId, float] = {}
+        self._cut: set[ZoneId] = set()
+        self._listeners: list[ZoneListener] = []
+
+    def is_reachable(self, zone: ZoneId) -> bool:
+        return zone == self._zone or (zone in self._heard_s and zone not in self._cut)
+
+    def is_cut(self, zone: ZoneId) -> bool:
+        return zone in self._cut
+
+    def subscribe(self, listener: ZoneListener) -> None:
+        """Call ``listener(zone, reachable)`` when a zone is cut off or back."""
+        self._listeners.append(listener)
+
+    def known(self) -> list[ZoneId]:
+        """The other zones with a host that is not dead, cut off or not."""
+        return [zone for zone in self._heard_s if self._hosts.present(zone)]
+
+    def random_reachable(self) -> ZoneId | None:
+        """A reachable other zone."""
+        zones = [zone for zone in self.known() if zone not in self._cut]
+        return self._random.choice(zones) if zones else None
+
+    def random_partner(self) -> KnownHost | None:
+        """A host of another zone, or of this one if no other is reachable."""
+        zone = self.random_reachable()
+        if zone is None:
+            hosts = self._hosts.zone_peers()
+        else:
+            hosts = self._hosts.present(zone)
+        return self._random.choice(hosts) if hosts else None
+
+    def learn(self, zone: ZoneId) -> None:
+        """Count a zone as heard when its first host becomes known."""
+        if zone != self._zone:
+            self._heard_s.setdefault(zone, self._clock.now_s())
+
+    def hear_from(self, zone: ZoneId) -> None:
+        """Note an answer from a host of the zone."""
+        if zone == self._zone:
+            return
+        self._heard_s[zone] = self._clock.now_s()
+        if zone in self._cut:
+            self._cut.discard(zone)
+            self._report(zone, reachable=True)
+
+    def restart(self) -> None:
+        """Count every zone as heard now, since this host itself was away."""
+        now_s = self._clock.now_s()
+        for zone in self._heard_s:
+            self._heard_s[zone] = now_s
+
+    def check(
+        self,
+        contact_cut: Callable[[KnownHost], None],
+        contact_quiet: Callable[[KnownHost], None],
+    ) -> None:
+        """Report zones that fell silent; contact a host of each silent one."""
+        now_s = self._clock.now_s()
+        for zone, heard_s in tuple(self._heard_s.items()):
+            hosts = self._hosts.present(zone)
+            if not hosts:
+                del self._heard_s[zone]
+                self._cut.discard(zone)
+                continue
+            silent_s = now_s - heard_s
+            if silent_s > ZONE_TIMEOUT_S and zone not in self._cut:
+                self._cut.add(zone)
+                self._report(zone, reachable=False)
+            if zone in self._cut:
+                contact_cut(self._random.choice(hosts))
+            elif silent_s > ZONE_QUIET_S:
+                contact_quiet(self._random.choice(hosts))
+
+    def _report(self, zone: ZoneId, reachable: bool) -> None:
+        log_event("zone", zone=zone, reachable=reachable)
+        self._metrics.count(f"membership.zone_{'back' if reachable else 'cut'}")
+        for listener in self._listeners:
+            call_listener(self._metrics, listener, zone, reachable)
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -78,7 +78,7 @@
         )
 
     def sums_equal(self):
-        return len({host._state.root for host in self.hosts.values()}) == 1
+        return len({host._entries.state.root for host in self.hosts.values()}) == 1
 
     def total(self, name):
         return sum(
@@ -157,7 +157,7 @@
 def when_cut_off(context, length_s):
     async def scenario(cluster):
         others = [name for name in cluster.hosts if name != "z0-0"]
-        before = cluster.hosts["z0-0"]._incarnation
+        before = cluster.hosts["z0-0"]._entries.incarnation
         cluster.network.cut(["z0-0"], others)
         await asyncio.sleep(length_s)
         cluster.network.heal()
@@ -429,9 +429,9 @@
 def when_stall(context, jump_s):
     async def scenario(cluster):
         host = cluster.hosts["z0-3"]
-        context.former = host._incarnation
+        context.former = host._entries.incarnation
         context.at_stall = []
-        host.on_stall(lambda: context.at_stall.append(host._incarnation))
+        host.on_stall(lambda: context.at_stall.append(host._entries.incarnation))
         host._environment.clock.offset_s += jump_s
         context.rejoin_s = await cluster.wait_for(
             lambda: all(v.incarnation > context.former for v in cluster.views("z0-3")),
@@ -545,7 +545,7 @@
     async def scenario(cluster):
         random = cluster.network.random
         target = cluster.network.address("z0-1")
-        peer = cluster.hosts["z0-2"]._port
+        peer = cluster.hosts["z0-2"]._link._port
         for number in range(count):
             message = random_message(random)
             peer.send(gossipwire.seal((PEER_KEY,), target, message), target)
@@ -714,7 +714,7 @@
         first = nodes[0][0]
         for number in range(count):
             first.publish(f"value/{number}", 1, "x" * 50)
-        seeds = [Seed("s0", "z0", first._address)]
+        seeds = [Seed("s0", "z0", first._link.address)]
         nodes += [await start_on_sockets(name, seeds) for name in ("s1", "s2")]
         members = [membership for membership, _ in nodes]
         cluster = Cluster(0, 0, 0)
