Write the log lines of sockets, streams and tasks through log_event

Values are now quoted in one way. Events that malformed input can cause share one interval; a test holds the rate limit, which fails if the limit is taken away.

--- a/src/wisteriatiller/datagrams.py
+++ b/src/wisteriatiller/datagrams.py
@@ -3,10 +3,9 @@
 import asyncio
 import socket
 
-from absl import logging
-
 from .exceptions import InvariantBroken
 from .ids import Address
+from .logs import log_event, log_event_limited
 from .ports import DatagramPort, DatagramPorts, Metrics, ReceiveDatagram
 from .tasks import stop_process
 
@@ -38,12 +37,11 @@
             self._socket.sendto(data, address)
         except OSError as error:
             self._metrics.count("datagrams.send_errors")
-            logging.log_every_n_seconds(
-                logging.WARNING,
-                "event=datagram_send_failed destination=%s detail=%r",
-                10,
-                Address(*address),
-                str(error),
+            log_event_limited(
+                "datagram_send_failed",
+                level="warning",
+                destination=Address(*address),
+                detail=error,
             )
 
     def close(self):
@@ -67,9 +65,14 @@
                 receive(data, Address._make(sender[:2]))
             except InvariantBroken as error:
                 stop_process(error)
-            except Exception:
+            except Exception as error:
                 self._metrics.count("datagrams.handler_errors")
-                logging.exception("event=datagram_handler_failed sender=%s", sender)
+                log_event(
+                    "datagram_handler_failed",
+                    level="error",
+                    exc_info=error,
+                    sender=Address._make(sender[:2]),
+                )
             if not self._is_open:
                 return
 
--- a/src/wisteriatiller/logs.py
+++ b/src/wisteriatiller/logs.py
@@ -22,6 +22,9 @@
 }
 
 
+# Malformed input may arrive at any rate; one line in this time still shows it.
+LIMITED_LOG_INTERVAL_S = 10.0
+
 _last_logged_s: dict[str, float] = {}
 
 
@@ -37,13 +40,11 @@
         logging.log(_LEVELS[level], "%s", line, exc_info=exc_info)
 
 
-def log_event_limited(
-    event: str, interval_s: float, level: str = "info", **pairs: object
-) -> None:
+def log_event_limited(event: str, level: str = "info", **pairs: object) -> None:
     """Write an event that outsiders can cause, at most once each interval."""
     now_s = time.monotonic()
     last_s = _last_logged_s.get(event)
-    if last_s is None or now_s - last_s >= interval_s:
+    if last_s is None or now_s - last_s >= LIMITED_LOG_INTERVAL_S:
         _last_logged_s[event] = now_s
         log_event(event, level, **pairs)
 
--- a/src/wisteriatiller/peers.py
+++ b/src/wisteriatiller/peers.py
@@ -20,7 +20,6 @@
 from collections.abc import Callable, Iterable, Iterator
 
 import msgpack
-from absl import logging
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
@@ -28,6 +27,7 @@
 from .digests import DIGEST_BYTES, sign, verify
 from .exceptions import InvariantBroken, MessageError
 from .ids import Address, HostId
+from .logs import log_event, log_event_limited
 from .messages import MAX_MESSAGE_BYTES, Message, decode, encode
 from .outcomes import Reason, Unreachable
 from .ports import Metrics, PeerHandler, PeerPort
@@ -101,10 +101,11 @@
         frame = msgpack.packb([self.host_id, call_id, reply_id, encode(message)])
         if len(frame) > MAX_FRAME_BYTES:
             self._metrics.count("peers.dropped_oversized")
-            logging.error(
-                "event=frame_too_large message=%s bytes=%d",
-                type(message).__name__,
-                len(frame),
+            log_event(
+                "frame_too_large",
+                level="error",
+                message=type(message).__name__,
+                bytes=len(frame),
             )
         elif host_id == self.host_id:
             asyncio.get_running_loop().call_soon(self._receive, frame)
@@ -119,9 +120,7 @@
             sender, call_id, reply_id, message = _read_frame(frame)
         except MessageError as error:
             self._metrics.count("peers.dropped_malformed")
-            logging.log_every_n_seconds(
-                logging.WARNING, "event=frame_dropped detail=%r", 10, str(error)
-            )
+            log_event_limited("frame_dropped", level="warning", detail=error)
             return
         if reply_id:
             self._take_reply(sender, reply_id, message)
@@ -167,8 +166,11 @@
         if isinstance(error, InvariantBroken):
             stop_process(error)
         self._metrics.count("peers.handler_errors")
-        logging.error(
-            "event=handler_failed message=%s", type(message).__name__, exc_info=error
+        log_event(
+            "handler_failed",
+            level="error",
+            exc_info=error,
+            message=type(message).__name__,
         )
 
 
@@ -322,9 +324,7 @@
             pass
         except MessageError as error:
             self._metrics.count("peers.dropped_bad_frame")
-            logging.log_every_n_seconds(
-                logging.WARNING, "event=stream_refused detail=%r", 10, str(error)
-            )
+            log_event_limited("stream_refused", level="warning", detail=error)
         finally:
             stream.close()
             self._accepted.discard(stream)
--- a/src/wisteriatiller/swimentries.py
+++ b/src/wisteriatiller/swimentries.py
@@ -30,7 +30,7 @@
     host_of,
     host_version,
 )
-from .swimlink import DROP_LOG_INTERVAL_S, GossipLink
+from .swimlink import GossipLink
 from .swimzones import ZoneContact
 
 
@@ -122,12 +122,7 @@
                 read = self._read_update(update)
             except (ValueError, TypeError) as error:
                 self._metrics.count("membership.dropped_malformed_update")
-                log_event_limited(
-                    "update_dropped",
-                    DROP_LOG_INTERVAL_S,
-                    level="warning",
-                    detail=error,
-                )
+                log_event_limited("update_dropped", level="warning", detail=error)
                 continue
             if read is not None:
                 entry, host, age_s = read
--- a/src/wisteriatiller/swimlink.py
+++ b/src/wisteriatiller/swimlink.py
@@ -12,7 +12,6 @@
 from .swimzones import ZONE_TIMEOUT_S
 
 MAX_NONCES = 4096
-DROP_LOG_INTERVAL_S = 10
 
 
 class GossipLink:
@@ -64,7 +63,6 @@
             self._metrics.count("membership.dropped_datagrams")
             log_event_limited(
                 "datagram_dropped",
-                DROP_LOG_INTERVAL_S,
                 level="warning",
                 source=source,
                 detail=error,
--- a/src/wisteriatiller/tasks.py
+++ b/src/wisteriatiller/tasks.py
@@ -3,9 +3,8 @@
 import asyncio
 from collections.abc import Coroutine
 
-from absl import logging
-
 from .exceptions import InvariantBroken
+from .logs import log_event
 
 # Exit status EX_SOFTWARE, so that a supervisor can tell a broken invariant from a
 # rejected command, which exits with 2.
@@ -20,7 +19,7 @@
     asyncio lets ``SystemExit`` through from callbacks and tasks, unlike any other
     exception, which it only logs.
     """
-    logging.error("event=invariant_broken detail=%r", str(error))
+    log_event("invariant_broken", level="error", detail=error)
     raise SystemExit(EXIT_INVARIANT_BROKEN) from error
 
 
@@ -41,4 +40,4 @@
     if isinstance(error, InvariantBroken):
         stop_process(error)
     elif isinstance(error, Exception):
-        logging.error("event=task_failed task=%s", task.get_name(), exc_info=error)
+        log_event("task_failed", level="error", exc_info=error, task=task.get_name())
--- a/tests/cli.feature
+++ b/tests/cli.feature
@@ -106,6 +106,14 @@
     # Guards against a report that fails for all hosts because of one.
     Then damaged host reports are counted as silent
 
+  Scenario: Events that outsiders cause are logged at a bounded rate
+    # Guards against logs that a flood of malformed datagrams fills, and against one
+    # kind of event that hides another.
+    When 50 events "frame_dropped" and as many "stream_refused" come in 9 s
+    Then 1 line for each of the two is logged
+    When another event of each kind comes after 10 s
+    Then 2 lines for each of the two are logged
+
   Scenario Outline: Values in log lines can be split again
     # Guards against log lines that a reader cannot split, and secrets in logs.
     Then logging <value> as "<name>" writes <written>
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -11,7 +11,9 @@
 import json
 import tempfile
 import threading
+from collections import Counter
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 
@@ -19,7 +21,7 @@
 from testbed.web import serve
 from tests import configurations
 from tests.fakes import FakeNetwork, run_virtual
-from wisteriatiller import cli
+from wisteriatiller import cli, logs
 from wisteriatiller.admin import AdminServer, revision_view
 from wisteriatiller.configstore import CONFIG_KEY, ConfigFollower
 from wisteriatiller.ids import Address, HostId, ServiceId, UpstreamId
@@ -299,3 +301,34 @@
 def then_logged(context, value, name, written):
     line = event_line("test", **{name: ast.literal_eval(value)})
     assert line == f"event=test {written}", line
+
+
+def log_limited(context, at_s, events):
+    """Log events at a given time; lines that were written are kept by event."""
+    with (
+        mock.patch.object(logs.time, "monotonic", lambda: at_s),
+        mock.patch.object(logs, "log_event") as log_event,
+    ):
+        for event in events:
+            logs.log_event_limited(event, level="warning", detail="malformed")
+    context.logged.update(call.args[0] for call in log_event.call_args_list)
+
+
+@when('{count:d} events "{first}" and as many "{second}" come in {span_s:g} s')
+def when_events_flood(context, count, first, second, span_s):
+    context.logged = Counter()
+    context.events = (first, second)
+    logs._last_logged_s.clear()
+    for number in range(count):
+        log_limited(context, 100.0 + span_s * number / count, context.events)
+
+
+@when("another event of each kind comes after {after_s:g} s")
+def when_events_follow(context, after_s):
+    log_limited(context, 100.0 + after_s, context.events)
+
+
+@then("{lines:d} line for each of the two is logged")
+@then("{lines:d} lines for each of the two are logged")
+def then_lines(context, lines):
+    assert context.logged == dict.fromkeys(context.events, lines), context.logged
