Move the placing of flows and the direct replies out of the owner

The owner keeps the routing. FlowPlacer decides about flows that a shard does not know, and CallerReplies answers requests that reach no dispatcher.

--- a/src/wisteriatiller/owner.py
+++ b/src/wisteriatiller/owner.py
@@ -5,20 +5,19 @@
 from dataclasses import replace
 
 from . import coapcodec, proxyheader
-from .config import ConfigSource, Configuration, RequestMode, Service, Upstream
-from .duplicates import EXCHANGE_LIFETIME_S, FINAL_STATES, RequestKey
+from .config import ConfigSource, RequestMode, Service, Upstream
+from .duplicates import FINAL_STATES, RequestKey
 from .environment import Environment
 from .exceptions import MessageError, check_invariant
-from .flowmessages import (
-    Forward,
-    PinFlow,
-)
+from .flowmessages import Forward, PinFlow
+from .flowplacing import FlowPlacer, FlowRoutes
 from .flows import FlowRecord, FlowState
 from .homes import Homes
 from .ids import Address, CallerId, FlowKey, HostId, Revision, ShardId, UpstreamId
 from .opening import FlowOpener
-from .outcomes import OutcomeUnknown, Reason, Refused
+from .outcomes import Reason, Refused
 from .ownership import Ownership
+from .replies import AnswerCaller, CallerReplies
 from .shard import OwnedShard
 from .shardtable import ShardTable
 
@@ -29,8 +28,6 @@
 OWNER_RETRY_S = 0.05
 CATCH_UP_TIMEOUT_S = 0.3
 
-AnswerCaller = Callable[[FlowKey, bytes], None]
-
 
 class Owner:
     """Routes forwarded datagrams to flows, and flows to upstreams."""
@@ -52,8 +49,16 @@
         self._source = source
         self._shards = shards
         self._homes = homes
-        self._opener = opener
         self._answer = answer
+        self._replies = CallerReplies(environment, source, answer)
+        self._placer = FlowPlacer(
+            environment,
+            source,
+            homes,
+            opener,
+            self._replies,
+            FlowRoutes(self._route, self._relay),
+        )
         self._tasks: set[asyncio.Task] = set()
         environment.peers.register(Forward, self.receive)
 
@@ -75,9 +80,9 @@
     def _route(self, forward: Forward) -> None:
         configuration = self._source.configuration
         upstream = configuration.upstreams.get(UpstreamId(forward.upstream_id))
-        service = self._service_of(forward, configuration)
+        service = self._replies.service_of(forward)
         if upstream is None or service is None:
-            self._give_up(forward, Reason.NO_UPSTREAM)
+            self._replies.give_up(forward, Reason.NO_UPSTREAM)
             return
         check_invariant(
             upstream.service_id == service.service_id,
@@ -91,7 +96,7 @@
             return
         record = owned.flows.get(FlowKey(forward.flow_key))
         if record is None:
-            self._open(owned, forward, service, upstream)
+            self._placer.open(owned, forward, service, upstream)
         else:
             self._use(owned, forward, service, record)
 
@@ -149,7 +154,7 @@
         if not head.is_request or self._is_known_repeat(owned, forward):
             return
         if record.told_lost:
-            self._place_lost(owned, forward, service)
+            self._placer.place_lost(owned, forward, service)
             return
         record.told_lost = True
         owned.flows.changed(FlowKey(forward.flow_key))
@@ -201,122 +206,6 @@
         dispatcher.answer_unknown(FlowKey(forward.flow_key), head, Reason.OWNER_CHANGED)
         return True
 
-    # Opening
-
-    def _open(
-        self,
-        owned: OwnedShard,
-        forward: Forward,
-        service: Service,
-        upstream: Upstream,
-    ) -> None:
-        flow_key = FlowKey(forward.flow_key)
-        if flow_key in owned.opening:
-            owned.opening[flow_key].append(forward)
-            return
-        if forward.pinned:
-            owned.flows.put(flow_key, self._record(owned, upstream.upstream_id))
-            self._route(forward)
-            return
-        home = self._homes.reachable_home(service.service_id, flow_key)
-        if home is None:
-            self._refuse_new(owned, forward, Reason.NO_UPSTREAM)
-        elif home != upstream.upstream_id:
-            self._relay(forward, home, pinned=False, declined_by=upstream.upstream_id)
-        else:
-            self._open_at_home(owned, forward, service)
-
-    def _refuse_new(self, owned: OwnedShard, forward: Forward, reason: Reason) -> None:
-        """Refuse a flow that is not known here; it may be while records are missing."""
-        if self._now_s() < owned.uncertain_until_s:
-            self._answer_unknown(forward, OutcomeUnknown(reason))
-        else:
-            self._refuse(forward, Refused(reason))
-
-    def _open_at_home(self, owned, forward: Forward, service: Service) -> None:
-        flow_key = FlowKey(forward.flow_key)
-        if self._is_home(forward, service) and not self._opener.needs_peers(
-            forward, service
-        ):
-            chosen = self._opener.choose(forward, service)
-            if self._is_local(owned, chosen):
-                owned.flows.put(flow_key, self._record(owned, chosen))
-                self._route(forward)
-                return
-        self._open_later(owned, forward, self._decide(owned, forward, service))
-
-    def _place_lost(self, owned, forward: Forward, service: Service) -> None:
-        """Choose another upstream for a flow that was lost with its upstream."""
-        flow_key = FlowKey(forward.flow_key)
-        if flow_key in owned.opening:
-            owned.opening[flow_key].append(forward)
-            return
-        owned.flows.remove(flow_key)
-        self._open_later(owned, forward, self._choose_anew(owned, forward, service))
-
-    def _open_later(self, owned: OwnedShard, forward: Forward, decision) -> None:
-        owned.opening[FlowKey(forward.flow_key)] = [forward]
-        self._spawn(self._open_with_peers(owned, forward, decision))
-
-    async def _open_with_peers(self, owned, forward: Forward, decision) -> None:
-        flow_key = FlowKey(forward.flow_key)
-        outcome = await decision
-        waiting = owned.opening.pop(flow_key)
-        if isinstance(outcome, OutcomeUnknown):
-            for item in waiting:
-                self._answer_unknown(item, outcome)
-            return
-        if owned.flows.get(flow_key) is None:
-            owned.flows.put(flow_key, outcome)
-        for item in waiting:
-            self._route(item)
-
-    async def _decide(
-        self, owned: OwnedShard, forward: Forward, service: Service
-    ) -> FlowRecord | OutcomeUnknown:
-        earlier = await self._opener.find_open(forward, service)
-        if isinstance(earlier, OutcomeUnknown):
-            return earlier
-        if earlier.open_on is not None:
-            return self._record(owned, earlier.open_on)
-        certain = earlier.certain and self._is_home(forward, service)
-        return await self._choose(owned, forward, service, certain)
-
-    async def _choose_anew(self, owned, forward: Forward, service: Service):
-        record = await self._choose(owned, forward, service, certain=True)
-        record.replaced = True
-        return record
-
-    async def _choose(
-        self, owned, forward: Forward, service: Service, certain: bool
-    ) -> FlowRecord:
-        chosen = self._opener.choose(forward, service)
-        if not self._is_local(owned, chosen):
-            if await self._opener.open_away(forward, chosen, certain):
-                return self._record(owned, chosen)
-            chosen = UpstreamId(forward.upstream_id)
-        record = self._record(owned, chosen)
-        if not certain:
-            record.uncertain_until_s = self._now_s() + EXCHANGE_LIFETIME_S
-        return record
-
-    def _record(self, owned: OwnedShard, upstream_id: UpstreamId) -> FlowRecord:
-        """A record for a flow on an upstream of this or another shard."""
-        if self._is_local(owned, upstream_id):
-            return FlowRecord(
-                FlowState.OPEN, upstream_id, self._now_s(), owned.uncertain_until_s
-            )
-        return FlowRecord(FlowState.ELSEWHERE, upstream_id, self._now_s())
-
-    def _is_home(self, forward: Forward, service: Service) -> bool:
-        home = self._homes.home(service.service_id, FlowKey(forward.flow_key))
-        return home == forward.upstream_id
-
-    def _is_local(self, owned: OwnedShard, upstream_id: UpstreamId) -> bool:
-        configuration = self._source.configuration
-        upstream = configuration.upstreams[upstream_id]
-        return configuration.shard_of(upstream) == owned.shard
-
     # Datagrams of upstreams
 
     def receive_from_upstream(self, data: bytes, address: Address) -> None:
@@ -366,7 +255,7 @@
     ) -> None:
         """Route a datagram on to another upstream's owner, which may be this host."""
         if forward.hops >= MAX_HOPS:
-            self._give_up(forward, Reason.NO_OWNER)
+            self._replies.give_up(forward, Reason.NO_OWNER)
             return
         relayed = replace(
             forward,
@@ -380,7 +269,7 @@
 
     def _pass_to_owner(self, forward: Forward, shard: ShardId) -> None:
         if not self._homes.is_reachable(UpstreamId(forward.upstream_id)):
-            self._give_up(forward, Reason.UPSTREAM_UNREACHABLE)
+            self._replies.give_up(forward, Reason.UPSTREAM_UNREACHABLE)
             return
         owner = self._ownership.owner(shard)
         if owner is not None and owner != self._host_id and forward.hops < MAX_HOPS:
@@ -390,7 +279,7 @@
             later = replace(forward, age_ms=age_ms, hops=0)
             asyncio.get_running_loop().call_later(OWNER_RETRY_S, self._route, later)
         else:
-            self._give_up(forward, Reason.NO_OWNER)
+            self._replies.give_up(forward, Reason.NO_OWNER)
 
     def _pin(self, forward: Forward, upstream_id: UpstreamId) -> None:
         if forward.pinned and forward.upstream_id == upstream_id:
@@ -401,40 +290,6 @@
             message = PinFlow(forward.flow_key, upstream_id)
             self._environment.peers.send(HostId(forward.ingress), message)
 
-    def _give_up(self, forward: Forward, reason: Reason) -> None:
-        """Answer a request for which this host cannot say that it did not run.
-
-        Without the owner's records, an earlier copy of the request may have run.
-        """
-        self._answer_unknown(forward, OutcomeUnknown(reason))
-
-    def _refuse(self, forward: Forward, outcome: Refused) -> None:
-        self._answer_request(forward, lambda head: coapcodec.refusal(head, outcome))
-
-    def _answer_unknown(self, forward: Forward, outcome: OutcomeUnknown) -> None:
-        self._answer_request(
-            forward, lambda head: coapcodec.outcome_unknown(head, outcome)
-        )
-
-    def _answer_request(self, forward: Forward, build) -> None:
-        service = self._service_of(forward, self._source.configuration)
-        if service is None or service.mode is RequestMode.OPAQUE:
-            self._environment.metrics.count("owner.dropped_datagrams")
-            return
-        try:
-            head = coapcodec.read_head(forward.payload)
-        except MessageError:
-            self._environment.metrics.count("owner.bad_payloads")
-            return
-        if head.is_request:
-            self._answer(FlowKey(forward.flow_key), build(head))
-
-    def _service_of(
-        self, forward: Forward, configuration: Configuration
-    ) -> Service | None:
-        destination = proxyheader.destination(FlowKey(forward.flow_key))
-        return configuration.service_by_address.get(destination)
-
     def _spawn(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
