--- a/src/wisteriatiller/configrecord.py
+++ b/src/wisteriatiller/configrecord.py
@@ -13,6 +13,7 @@
 import contextlib
 import gc
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import msgpack
@@ -89,18 +90,7 @@
         return rows.setdefault(upstream, len(rows))
 
     services = [
-        [
-            service.service_id,
-            str(service.address),
-            service.mode.value,
-            [row_of(upstream) for upstream in service.upstreams.values()],
-            list(service.depends_on),
-            service.deadline_ms,
-            service.flow_idle_s,
-            service.slow_start_s,
-            service.objective,
-        ]
-        for service in configuration.services.values()
+        _service_fields(service, row_of) for service in configuration.services.values()
     ]
     earlier = [
         [
@@ -122,6 +112,24 @@
             configuration.text,
         ]
     )
+    return _compress(unpacked)
+
+
+def _service_fields(service: Service, row_of: Callable[[Upstream], int]) -> list:
+    return [
+        service.service_id,
+        str(service.address),
+        service.mode.value,
+        [row_of(upstream) for upstream in service.upstreams.values()],
+        list(service.depends_on),
+        service.deadline_ms,
+        service.flow_idle_s,
+        service.slow_start_s,
+        service.objective,
+    ]
+
+
+def _compress(unpacked: bytes) -> bytes | RecordInvalid:
     data = zlib.compress(unpacked)
     if len(data) > MAX_RECORD_BYTES or len(unpacked) > MAX_UNPACKED_BYTES:
         return RecordInvalid(
--- a/src/wisteriatiller/configstore.py
+++ b/src/wisteriatiller/configstore.py
@@ -361,13 +361,10 @@
             return
         if stored.submission_id == self._record.submission_id:
             return
-        record, data = self._record, self._data
-        if stored.revision and not record.contains(stored.submission_id):
-            record = next_record(record, stored.configuration, stored.submission_id)
-            data = encode_record(record)
-            if isinstance(data, RecordInvalid):
-                log_event("config_not_reissued", level="error", detail=data.detail)
-                return
+        record, data = self._restored(stored)
+        if isinstance(data, RecordInvalid):
+            log_event("config_not_reissued", level="error", detail=data.detail)
+            return
         outcome = await self._environment.store.compare_and_swap(
             CONFIG_KEY, data, index if stored.revision else 0
         )
@@ -380,6 +377,16 @@
                 store_revision=stored.revision,
             )
 
+    def _restored(
+        self, stored: ConfigRecord
+    ) -> tuple[ConfigRecord, bytes | RecordInvalid]:
+        """The record that a store with the older record ``stored`` has to hold."""
+        record = self._record
+        if not stored.revision or record.contains(stored.submission_id):
+            return record, self._data
+        record = next_record(record, stored.configuration, stored.submission_id)
+        return record, encode_record(record)
+
     # Pulling from peers.
 
     def _on_gossip(self, key: str, version: int, value: object) -> None:
--- a/src/wisteriatiller/configtext.py
+++ b/src/wisteriatiller/configtext.py
@@ -74,13 +74,7 @@
         return parsed
     checker = Checker(name, parsed)
     values = checker.fields((), parsed.value, _TEXT_FIELDS)
-    raw_services = {}
-    if isinstance(parsed.value, dict) and "services" in parsed.value:
-        allowed = "an object with at least one service"
-        path = ("services",)
-        raw_services = checker.mapping(path, parsed.value["services"], allowed)
-        if parsed.value["services"] == {}:
-            checker.problem(path, "no service", allowed)
+    raw_services = _raw_services(checker, parsed.value)
     services = {}
     for service_id, raw in raw_services.items():
         service = _service(checker, service_id, raw)
@@ -96,6 +90,24 @@
         shard_count=values["shard_count"],
         text=text.decode("utf-8"),
     )
+    return _check_record_size(configuration, name)
+
+
+def _raw_services(checker: Checker, value: object) -> Mapping:
+    """The unchecked services of a text by id."""
+    if not isinstance(value, dict) or "services" not in value:
+        return {}
+    allowed = "an object with at least one service"
+    path = ("services",)
+    raw_services = checker.mapping(path, value["services"], allowed)
+    if value["services"] == {}:
+        checker.problem(path, "no service", allowed)
+    return raw_services
+
+
+def _check_record_size(
+    configuration: Configuration, name: str
+) -> Configuration | TextProblems:
     # The store holds the record, which a text with few repetitions can make larger
     # than the text itself.
     record = encode_record(ConfigRecord(configuration, SubmissionId("")))
@@ -164,6 +176,15 @@
     by_address: dict[Address, str] = {}
     by_id: dict[str, str] = {}
 
+    def note_id(path: KeyPath, upstream_id: str, service_id: str) -> None:
+        first = by_id.setdefault(upstream_id, service_id)
+        if first != service_id:
+            checker.problem(
+                path,
+                f"the id {upstream_id} of an upstream of {first}",
+                "an id that no other upstream has",
+            )
+
     def note_address(path: KeyPath, raw: object, owner: str) -> None:
         try:
             found = address(raw.get("address"))
@@ -181,17 +202,11 @@
         path = ("services", service_id)
         note_address(path, raw, f"service {service_id}")
         upstreams = raw.get("upstreams")
-        for upstream_id, item in (
-            upstreams.items() if isinstance(upstreams, dict) else ()
-        ):
+        if not isinstance(upstreams, dict):
+            continue
+        for upstream_id, item in upstreams.items():
             item_path = (*path, "upstreams", upstream_id)
-            first = by_id.setdefault(upstream_id, service_id)
-            if first != service_id:
-                checker.problem(
-                    item_path,
-                    f"the id {upstream_id} of an upstream of {first}",
-                    "an id that no other upstream has",
-                )
+            note_id(item_path, upstream_id, service_id)
             if isinstance(item, dict):
                 note_address(item_path, item, f"upstream {upstream_id}")
 
