Stop the process on a broken invariant in the owner's tasks

The owner and the placing of flows kept tasks of their own whose failure the event loop only logged. They now use spawn, like all other background tasks.

--- a/src/wisteriatiller/flowplacing.py
+++ b/src/wisteriatiller/flowplacing.py
@@ -1,6 +1,5 @@
 """Places flows that the owner of their home does not know yet, or not any more."""
 
-import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
@@ -15,6 +14,7 @@
 from .outcomes import OutcomeUnknown, Reason, Refused
 from .replies import CallerReplies
 from .shard import OwnedShard
+from .tasks import spawn
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +43,6 @@
         self._opener = opener
         self._replies = replies
         self._routes = routes
-        self._tasks: set[asyncio.Task] = set()
 
     def open(
         self,
@@ -109,11 +108,7 @@
     ) -> None:
         """Decide with the help of other owners; later datagrams wait meanwhile."""
         owned.opening[FlowKey(forward.flow_key)] = [forward]
-        task = asyncio.get_running_loop().create_task(
-            self._open_with_peers(owned, forward, decision)
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        spawn(self._open_with_peers(owned, forward, decision), "open flow")
 
     async def _open_with_peers(
         self,
--- a/src/wisteriatiller/owner.py
+++ b/src/wisteriatiller/owner.py
@@ -20,6 +20,7 @@
 from .replies import AnswerCaller, CallerReplies
 from .shard import OwnedShard
 from .shardtable import ShardTable
+from .tasks import spawn
 
 MAX_HOPS = 5
 # A request that finds no owner is tried again for this long: a planned hand-over
@@ -59,7 +60,6 @@
             self._replies,
             FlowRoutes(self._route, self._relay),
         )
-        self._tasks: set[asyncio.Task] = set()
         environment.peers.register(Forward, self.receive)
 
     # Datagrams of callers
@@ -67,7 +67,7 @@
     def receive(self, sender: HostId, forward: Forward) -> None:
         """Take a caller's datagram from an ingress or another owner."""
         if forward.revision > self._source.configuration.revision:
-            self._spawn(self._receive_newer(sender, forward))
+            spawn(self._receive_newer(sender, forward), "receive newer")
         else:
             self._route(forward)
 
@@ -290,11 +290,6 @@
             message = PinFlow(forward.flow_key, upstream_id)
             self._environment.peers.send(HostId(forward.ingress), message)
 
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _now_s(self) -> float:
         return self._environment.clock.now_s()
 
--- a/tests/placement.feature
+++ b/tests/placement.feature
@@ -22,3 +22,8 @@
     # Guards against a cached ranking that differs from the one other hosts compute.
     Given 30 hosts of a zone of which some come and go 200 times
     Then the ranking of each shard is always the one that a fresh host computes
+
+  Scenario: A broken invariant that is found while a flow is opened stops the process
+    # Guards against a task whose failure the event loop only logs.
+    When a broken invariant is found while a flow is being opened
+    Then the process ends with the status for a broken invariant
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -1,13 +1,20 @@
 """Steps for the placement of flows."""
 
+import asyncio
 import random
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 from behave import given, then, when
 
+from wisteriatiller.exceptions import InvariantBroken
+from wisteriatiller.flowmessages import Forward
+from wisteriatiller.flowplacing import FlowPlacer
 from wisteriatiller.ids import HostId, ShardId, ZoneId
 from wisteriatiller.ownership import Ownership
 from wisteriatiller.placement import PlacementTable, earlier_homes
+from wisteriatiller.shard import OwnedShard
+from wisteriatiller.tasks import EXIT_INVARIANT_BROKEN
 
 
 def flow_keys(count):
@@ -80,3 +87,33 @@
 def then_same_rankings(context):
     assert all(cached == fresh for cached, fresh in context.pairs)
     assert len(set(context.pairs)) > len(context.pairs) // 4
+
+
+@when("a broken invariant is found while a flow is being opened")
+def when_opening_breaks(context):
+    async def find_open(forward, service):
+        raise InvariantBroken("found by a test")
+
+    opener = Mock(needs_peers=lambda forward, service: True, find_open=find_open)
+    homes = Mock(
+        home=lambda service_id, flow_key: "u",
+        reachable_home=lambda service_id, flow_key: "u",
+    )
+    placer = FlowPlacer(Mock(), Mock(), homes, opener, Mock(), Mock())
+    forward = Forward(bytes(12), "u", 1, "h", False, "", 0, 0, b"")
+
+    async def scenario():
+        owned = OwnedShard(ShardId(ZoneId("z"), 0), Mock())
+        placer.open(owned, forward, Mock(service_id="s"), Mock(upstream_id="u"))
+        await asyncio.sleep(0.05)
+
+    context.exit_status = 0
+    try:
+        asyncio.run(scenario())
+    except SystemExit as stop:
+        context.exit_status = stop.code
+
+
+@then("the process ends with the status for a broken invariant")
+def then_stopped(context):
+    assert context.exit_status == EXIT_INVARIANT_BROKEN, context.exit_status
