--- a/src/wisteriatiller/peers.py
+++ b/src/wisteriatiller/peers.py
@@ -1,8 +1,4 @@
-"""Messages between hosts: dispatch, calls and their replies, and TCP streams.
-
-``PeerNode`` does everything but the transport. A frame is the msgpack array
-``[sender, call id, reply id, message]``; an id of 0 means that the frame is not a
-call or not a reply. ``TcpPeers`` carries frames over one stream for each peer.
+"""Messages between hosts over TCP, with one outgoing stream for each peer.
 
 On a stream, the acceptor first sends a random nonce. The connector then sends frames
 as ``length, digest, frame``. The digest covers the nonce, the address of the acceptor
@@ -15,27 +11,23 @@
 import secrets
 import socket
 import struct
-from abc import abstractmethod
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
 
-import msgpack
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from .digests import DIGEST_BYTES, sign, verify
-from .exceptions import InvariantBroken, MessageError
+from .exceptions import MessageError
 from .ids import Address, HostId
-from .logs import log_event, log_event_limited
-from .messages import MAX_MESSAGE_BYTES, Message, decode, encode
-from .outcomes import Reason, Unreachable
-from .ports import Metrics, PeerHandler, PeerPort
+from .logs import log_event_limited
+from .peernode import MAX_FRAME_BYTES, PeerNode
+from .ports import Metrics
 from .settings import HostSettings
-from .tasks import spawn, stop_process
+from .tasks import spawn
 
 NONCE_BYTES = 16
-MAX_FRAME_BYTES = MAX_MESSAGE_BYTES + 1024
 MAX_QUEUED_FRAMES = 8192
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
 MAX_BATCH_BYTES = 256 * 1024
@@ -55,140 +47,6 @@
 AddressLookup = Callable[[HostId], Address | None]
 
 
-class PeerNode(PeerPort):
-    """One end of the messages between hosts, without a transport.
-
-    A subclass sends frames in ``_transmit`` and passes those that arrive to
-    ``_receive``.
-    """
-
-    def __init__(self, host_id: HostId, metrics: Metrics, first_call_id: int = 1):
-        self.host_id = host_id
-        self._metrics = metrics
-        self._handlers: dict[type[Message], PeerHandler] = {}
-        self._calls: dict[int, tuple[HostId, asyncio.Future]] = {}
-        self._next_call_id = first_call_id
-
-    @abstractmethod
-    def _transmit(self, host_id: HostId, frame: bytes) -> None:
-        """Send a frame to another host, or drop it."""
-
-    def register(self, message_type, handler):
-        if message_type in self._handlers:
-            raise ValueError(f"{message_type.__name__} has a handler")
-        self._handlers[message_type] = handler
-
-    def send(self, host_id, message):
-        self._send_frame(host_id, 0, 0, message)
-
-    async def call(self, host_id, message, timeout_s):
-        call_id = self._next_call_id
-        self._next_call_id += 1
-        future = asyncio.get_running_loop().create_future()
-        self._calls[call_id] = (host_id, future)
-        try:
-            self._send_frame(host_id, call_id, 0, message)
-            async with asyncio.timeout(timeout_s):
-                return await future
-        except TimeoutError:
-            return Unreachable(Reason.TIMEOUT)
-        finally:
-            del self._calls[call_id]
-
-    def _send_frame(
-        self, host_id: HostId, call_id: int, reply_id: int, message: Message
-    ) -> None:
-        frame = msgpack.packb([self.host_id, call_id, reply_id, encode(message)])
-        if len(frame) > MAX_FRAME_BYTES:
-            self._metrics.count("peers.dropped_oversized")
-            log_event(
-                "frame_too_large",
-                level="error",
-                message=type(message).__name__,
-                bytes=len(frame),
-            )
-        elif host_id == self.host_id:
-            asyncio.get_running_loop().call_soon(self._receive, frame)
-        else:
-            self._metrics.count("peers.frames_sent")
-            self._metrics.count("peers.bytes_sent", len(frame))
-            self._transmit(host_id, frame)
-
-    def _receive(self, frame: bytes) -> None:
-        """Pass the message of a frame to its caller or handler."""
-        try:
-            sender, call_id, reply_id, message = _read_frame(frame)
-        except MessageError as error:
-            self._metrics.count("peers.dropped_malformed")
-            log_event_limited("frame_dropped", level="warning", detail=error)
-            return
-        if reply_id:
-            self._take_reply(sender, reply_id, message)
-        else:
-            self._dispatch(sender, call_id, message)
-
-    def _take_reply(self, sender: HostId, reply_id: int, message: Message) -> None:
-        host_id, future = self._calls.get(reply_id, (None, None))
-        if host_id == sender and not future.done():
-            future.set_result(message)
-        else:
-            self._metrics.count("peers.late_replies")
-
-    def _dispatch(self, sender: HostId, call_id: int, message: Message) -> None:
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            self._metrics.count("peers.dropped_unhandled")
-            return
-        try:
-            reply = handler(sender, message)
-        except Exception as error:
-            self._report_handler_error(message, error)
-            return
-        if reply is None or isinstance(reply, Message):
-            self._reply(sender, call_id, reply)
-        else:
-            name = f"handle {type(message).__name__}"
-            spawn(self._finish(sender, call_id, message, reply), name)
-
-    async def _finish(self, sender, call_id, message, pending) -> None:
-        try:
-            reply = await pending
-        except Exception as error:
-            self._report_handler_error(message, error)
-        else:
-            self._reply(sender, call_id, reply)
-
-    def _reply(self, sender: HostId, call_id: int, reply: Message | None) -> None:
-        if call_id and reply is not None:
-            self._send_frame(sender, 0, call_id, reply)
-
-    def _report_handler_error(self, message: Message, error: Exception) -> None:
-        if isinstance(error, InvariantBroken):
-            stop_process(error)
-        self._metrics.count("peers.handler_errors")
-        log_event(
-            "handler_failed",
-            level="error",
-            exc_info=error,
-            message=type(message).__name__,
-        )
-
-
-def _read_frame(frame: bytes) -> tuple[HostId, int, int, Message]:
-    try:
-        sender, call_id, reply_id, body = msgpack.unpackb(frame)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise MessageError(f"undecodable frame: {error}") from error
-    if not (
-        isinstance(sender, str)
-        and type(call_id) is int
-        and type(reply_id) is int
-        and isinstance(body, bytes)
-    ):
-        raise MessageError("frame with fields of the wrong type")
-    return HostId(sender), call_id, reply_id, decode(body)
-
-
 class TcpPeers(PeerNode):
     """Messages over TCP streams, one outgoing stream and task for each peer.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -22,7 +22,7 @@
 from wisteriatiller.ids import Address, HostId, Revision, ZoneId
 from wisteriatiller.metrics import NullMetrics
 from wisteriatiller.outcomes import Conflict, StoreUnavailable
-from wisteriatiller.peers import PeerNode
+from wisteriatiller.peernode import PeerNode
 from wisteriatiller.ports import (
     Clock,
     DatagramPort,
