--- a/src/wisteriatiller/logs.py
+++ b/src/wisteriatiller/logs.py
@@ -22,10 +22,31 @@
 }
 
 
-def log_event(event: str, level: str = "info", **pairs: object) -> None:
+# Malformed input may arrive at any rate; one line in this time still shows it.
+LIMITED_LOG_INTERVAL_S = 10.0
+
+_last_logged_s: dict[str, float] = {}
+
+
+def log_event(
+    event: str,
+    level: str = "info",
+    exc_info: BaseException | None = None,
+    **pairs: object,
+) -> None:
     """Write one event; values are quoted where a reader could not split them."""
     if logging.get_verbosity() >= _LEVELS[level]:
-        logging.log(_LEVELS[level], "%s", event_line(event, **pairs))
+        line = event_line(event, **pairs)
+        logging.log(_LEVELS[level], "%s", line, exc_info=exc_info)
+
+
+def log_event_limited(event: str, level: str = "info", **pairs: object) -> None:
+    """Write an event that outsiders can cause, at most once each interval."""
+    now_s = time.monotonic()
+    last_s = _last_logged_s.get(event)
+    if last_s is None or now_s - last_s >= LIMITED_LOG_INTERVAL_S:
+        _last_logged_s[event] = now_s
+        log_event(event, level, **pairs)
 
 
 def event_line(event: str, **pairs: object) -> str:
