--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -5,7 +5,7 @@
 
 from .balance import BoundedLoadChooser
 from .config import ConfigSource
-from .configstore import ConfigFollower
+from .configstore import GOSSIP_KEY, ConfigFollower
 from .environment import Environment
 from .flowservice import FlowService
 from .grantors import LeaseGrantor
@@ -30,6 +30,8 @@
 from .upkeep import Upkeep
 
 JOIN_TIMEOUT_S = 5.0
+CONFIG_TIMEOUT_S = 5.0
+CONFIG_POLL_S = 0.02
 # The fabric's list of hosts lags, so a stopping host forwards until nothing came from
 # the fabric for this long.
 FABRIC_QUIET_S = 1.0
@@ -128,10 +130,24 @@
         self._run(self.upkeep.sweep(), "sweep")
         self._run(self.healing.run(), "zone healing")
         self._run(self.loads.exchange(), "exchange loads")
+        await self._wait_configured()
         self.ingress.fabric_port = await self._open(
             settings.fabric_listen, self.ingress.receive
         )
 
+    async def _wait_configured(self) -> None:
+        """Wait for the configuration that the other hosts have, if they have one.
+
+        A host without it would drop every datagram as one for an unknown service.
+        """
+        deadline_s = self.environment.clock.now_s() + CONFIG_TIMEOUT_S
+        while self.environment.clock.now_s() < deadline_s:
+            known = self.membership.value(GOSSIP_KEY)
+            if known is None or self.source.configuration.revision >= known[0]:
+                return
+            await asyncio.sleep(CONFIG_POLL_S)
+        log_event("configuration_timeout", level="warning")
+
     async def stop(self) -> None:
         """Stop gracefully: hand over, and forward until the fabric is quiet."""
         self.leases.is_leaving = True
