Let a dispatched request outlast the lease that it was sent under

Cause: the timer of a non-idempotent request ended with the lease at dispatch, although the lease is renewed; the deadline sent to the upstream fences only its start. Quotes of about 4 s with a deadline of 20 s: 11 of 12 outcomes unknown before, 12 answered after.

--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -396,14 +396,15 @@
         )
 
     def _dispatch(self, request: Request) -> None:
-        deadline_s = request.deadline_s
+        # The upstream must not start the request later than this.
+        start_by_s = request.deadline_s
         now_s = self._now_s()
         if not request.head.is_idempotent:
             lease_s = self._gate.lease_remaining_s()
             if lease_s < MIN_LEASE_S:
                 self._finish_refused(request, Refused(Reason.NO_LEASE))
                 return
-            deadline_s = min(deadline_s, now_s + lease_s)
+            start_by_s = min(start_by_s, now_s + lease_s)
             check_invariant(
                 request.dispatches == 0,
                 "non_idempotent_dispatched_once",
@@ -420,8 +421,10 @@
             "slots_not_exceeded",
             upstream=self.upstream.upstream_id,
         )
-        self._set_timers(request, deadline_s - now_s)
-        self._send_request(request, deadline_s)
+        # Once started, a request may outlast the lease that it was sent under: the
+        # renewed lease or the successor's records keep it from running again.
+        self._set_timers(request, request.deadline_s - now_s)
+        self._send_request(request, start_by_s)
 
     def _set_timers(self, request: Request, remaining_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -446,9 +449,9 @@
         request.upstream_message_id = message_id
         request.resent = False
 
-    def _send_request(self, request: Request, deadline_s: float) -> None:
+    def _send_request(self, request: Request, start_by_s: float) -> None:
         header = proxyheader.make_header(request.flow_key)
-        upstream_deadline_ms = self.health.upstream_clock_ms(deadline_s)
+        upstream_deadline_ms = self.health.upstream_clock_ms(start_by_s)
         if upstream_deadline_ms is not None:
             header = proxyheader.with_deadline(header, upstream_deadline_ms)
         self._send(header + self._for_upstream(request))
--- a/tests/promises.feature
+++ b/tests/promises.feature
@@ -51,6 +51,12 @@
     When all upstreams run at a tenth of their speed and the busiest host stops
     Then every request in progress at the stop got its whole answer
 
+  Scenario: A quote that runs longer than a lease is answered
+    # Guards against a time limit of the lease on requests whose lease is renewed.
+    Given a fleet with a deadline of 20 seconds and 12 quotes at once
+    When each quote takes about 4 seconds at its upstream
+    Then every slow quote was answered once
+
   Scenario: A dead upstream's flows are told so and placed anew
     # Guards against flows moved silently, and against quotes run again elsewhere.
     Given a fleet with 150 open price flows
--- a/tests/steps/promises_steps.py
+++ b/tests/steps/promises_steps.py
@@ -251,6 +251,34 @@
     assert context.verdict.without_answer == 0
 
 
+@given("a fleet with a deadline of {deadline_s:d} seconds and {count:d} quotes at once")
+def given_slow_quotes(context, deadline_s, count):
+    context.services = build_services(deadline_ms=deadline_s * 1000)
+    context.quote_count = count
+
+
+@when("each quote takes about 4 seconds at its upstream")
+def when_slow_quotes(context):
+    async def scenario(fleet):
+        for upstream in fleet.upstreams.values():
+            upstream.set_faults({"speed": 0.005})
+        flows = [fleet.open_flow(PRICE, index) for index in range(context.quote_count)]
+        quotes = [
+            flow.request(Code.POST, "quote", f"slow-{index};crates=1".encode())
+            for index, flow in enumerate(flows)
+        ]
+        return await asyncio.gather(*quotes)
+
+    run_fleet(context, scenario, services=context.services)
+
+
+@then("every slow quote was answered once")
+def then_slow_quotes(context):
+    check_nothing_mixed(context.verdict)
+    outcomes = Counter(answer.outcome for answer in context.result)
+    assert outcomes == {Outcome.ANSWERED: context.quote_count}, outcomes
+
+
 @when("an upstream dies in the middle of its quotes")
 def when_upstream_dies(context):
     async def scenario(fleet):
