Move requests in flight to a module; drop late separate answers of a used token

Cause: a separate response names only the token. A response that came after its request was given up was delivered to the flow's next request if the caller used the token again.

--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/dispatch.py
@@ -19,6 +19,7 @@
 from .exceptions import check_invariant
 from .health import HealthEvent, UpstreamHealth
 from .ids import CallerId, FlowKey, ServiceId, UpstreamId
+from .inflight import InFlightRequests, payload_for_caller
 from .outcomes import OutcomeUnknown, Reason, Refused
 from .queueing import FairQueue, Request
 from .report import RequestOutcome
@@ -27,9 +28,7 @@
     MAX_DISPATCHES,
     MIN_RESEND_SERVICE_TIMES,
     RetryBudget,
-    UpstreamMessageIds,
     retry_delay_s,
-    with_message_id,
 )
 
 # A non-idempotent request is not sent with less lease left than this, since the
@@ -118,23 +117,20 @@
         self._answer = answer
         self._policy = policy or DispatchPolicy()
         self._queue = FairQueue()
-        # Requests without a final answer; those in flight also by the message id
-        # under which the upstream knows them.
+        # Requests without a final answer.
         self._open: dict[RequestKey, Request] = {}
-        self._in_flight: dict[RequestKey, Request] = {}
-        self._timers: dict[RequestKey, list[asyncio.TimerHandle]] = {}
+        self._in_flight = InFlightRequests(environment, duplicates, health, send)
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._paused = False
         self._retrying: set[Request] = set()
         self.retry_budget = RetryBudget()
-        self._message_ids = UpstreamMessageIds(environment)
         self.admission = Admission(
             environment,
             service,
             upstream,
             health,
             self._queue,
-            self._in_flight.values(),
+            self._in_flight.requests,
         )
         if service.mode is RequestMode.COAP:
             health.in_flight = lambda: len(self._in_flight)
@@ -185,18 +181,20 @@
         if not head.is_response:
             self._answer(flow_key, payload)
             return
-        request = self._match(flow_key, head)
+        request = self._in_flight.match(flow_key, head)
         if request is None:
             self._environment.metrics.count("dispatch.late_answers")
             return
         if head.is_refusal:
             self._upstream_refused(request, head, payload)
         else:
-            self._release(request)
+            self._in_flight.release(request, answered=True)
             self.health.succeeded(self._now_s() - request.dispatched_s)
             self.retry_budget.succeeded()
             self._finish(
-                request, RequestState.ANSWERED, self._for_caller(request, head, payload)
+                request,
+                RequestState.ANSWERED,
+                payload_for_caller(request, head, payload),
             )
         self.pump()
 
@@ -231,8 +229,8 @@
         """End all timers; nothing is answered or dispatched any more."""
         self._paused = True
         self._retrying.clear()
-        for request in list(self._in_flight.values()):
-            self._release(request)
+        for request in list(self._in_flight.requests):
+            self._in_flight.release(request, answered=False)
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
 
@@ -367,9 +365,9 @@
         request = self._open.get(RequestKey(flow_key, head.message_id))
         if request is None:
             return False
-        if self._is_in_flight(request):
-            self._release(request)
-            self._send_cancel(request)
+        if request in self._in_flight:
+            self._in_flight.release(request, answered=False)
+            self._in_flight.send_cancel(request)
             self._finish_unknown(request, Reason.CANCELLED)
             self.pump()
         else:
@@ -410,12 +408,12 @@
                 "non_idempotent_dispatched_once",
                 upstream=self.upstream.upstream_id,
             )
-        self._set_upstream_message_id(request)
+        self._in_flight.assign_message_id(request)
         request.record.state = RequestState.DISPATCHED
         request.may_have_run = True
         request.dispatches += 1
         request.dispatched_s = now_s
-        self._in_flight[self._upstream_key(request)] = request
+        self._in_flight.add(request)
         check_invariant(
             len(self._in_flight) <= self.upstream.slots,
             "slots_not_exceeded",
@@ -424,7 +422,7 @@
         # Once started, a request may outlast the lease that it was sent under: the
         # renewed lease or the successor's records keep it from running again.
         self._set_timers(request, request.deadline_s - now_s)
-        self._send_request(request, start_by_s)
+        self._in_flight.send(request, start_by_s)
 
     def _set_timers(self, request: Request, remaining_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -434,67 +432,19 @@
         expected_s = MIN_RESEND_SERVICE_TIMES * self.admission.service_time_s()
         if request.head.is_idempotent and remaining_s / 2 >= expected_s:
             timers.append(loop.call_later(remaining_s / 2, self._resend, request))
-        self._timers[self._upstream_key(request)] = timers
-
-    def _set_upstream_message_id(self, request: Request) -> None:
-        """Keep the caller's message id unless the upstream has seen it."""
-        flow_key, message_id = request.key
-        if request.dispatches > 0 or self._message_ids.is_taken(flow_key, message_id):
-            message_id = self._message_ids.take(
-                flow_key,
-                lambda other: (
-                    self._duplicates.get(RequestKey(flow_key, other)) is not None
-                ),
-            )
-        request.upstream_message_id = message_id
-        request.resent = False
-
-    def _send_request(self, request: Request, start_by_s: float) -> None:
-        header = proxyheader.make_header(request.flow_key)
-        upstream_deadline_ms = self.health.upstream_clock_ms(start_by_s)
-        if upstream_deadline_ms is not None:
-            header = proxyheader.with_deadline(header, upstream_deadline_ms)
-        self._send(header + self._for_upstream(request))
-
-    def _send_cancel(self, request: Request) -> None:
-        header = proxyheader.with_cancel(proxyheader.make_header(request.flow_key))
-        self._send(header + self._for_upstream(request))
-
-    def _for_upstream(self, request: Request) -> bytes:
-        if request.upstream_message_id == request.head.message_id:
-            return request.payload
-        return with_message_id(request.payload, request.upstream_message_id)
-
-    def _for_caller(self, request: Request, head: CoapHead, payload: bytes) -> bytes:
-        if (
-            head.message_type is not MessageType.ACK
-            or head.message_id == request.head.message_id
-        ):
-            return payload
-        return with_message_id(payload, request.head.message_id)
-
-    def _match(self, flow_key: FlowKey, head: CoapHead) -> Request | None:
-        if head.message_type is MessageType.ACK:
-            request = self._in_flight.get(RequestKey(flow_key, head.message_id))
-            if request is not None and request.head.token == head.token:
-                return request
-            return None
-        for request in self._in_flight.values():
-            if request.flow_key == flow_key and request.head.token == head.token:
-                return request
-        return None
+        self._in_flight.set_timers(request, timers)
 
     def _resend(self, request: Request) -> None:
         """Send an unanswered idempotent request again, under the same message id."""
         if (
-            not self._is_in_flight(request)
+            request not in self._in_flight
             or request.dispatches >= MAX_DISPATCHES
             or not self._may_repeat(request)
         ):
             return
         request.dispatches += 1
         request.resent = True
-        self._send_request(request, request.deadline_s)
+        self._in_flight.send(request, request.deadline_s)
 
     def _may_repeat(self, request: Request, keep: float = 0.0) -> bool:
         """Whether policy and budget allow one more dispatch; spends the budget."""
@@ -508,7 +458,7 @@
     def _upstream_refused(
         self, request: Request, head: CoapHead, payload: bytes
     ) -> None:
-        self._release(request)
+        self._in_flight.release(request, answered=True)
         self.health.refused()
         # A separate answer does not say which dispatch it belongs to, and one of two
         # copies may have run although the other was refused.
@@ -522,7 +472,7 @@
         if self._retry_later(request):
             return
         self._finish(
-            request, RequestState.REFUSED, self._for_caller(request, head, payload)
+            request, RequestState.REFUSED, payload_for_caller(request, head, payload)
         )
 
     def _retry_later(self, request: Request) -> bool:
@@ -558,26 +508,14 @@
             self._refuse(request, Reason.DEADLINE)
 
     def _time_out(self, request: Request) -> None:
-        if not self._is_in_flight(request):
+        if request not in self._in_flight:
             return
-        self._release(request)
+        self._in_flight.release(request, answered=False)
         self.health.failed(self._now_s() - request.dispatched_s)
-        self._send_cancel(request)
+        self._in_flight.send_cancel(request)
         self._finish_unknown(request, Reason.TIMEOUT)
         self.pump()
 
-    def _upstream_key(self, request: Request) -> RequestKey:
-        return RequestKey(request.flow_key, request.upstream_message_id)
-
-    def _is_in_flight(self, request: Request) -> bool:
-        return self._in_flight.get(self._upstream_key(request)) is request
-
-    def _release(self, request: Request) -> None:
-        key = self._upstream_key(request)
-        del self._in_flight[key]
-        for timer in self._timers.pop(key):
-            timer.cancel()
-
     def _refuse(self, request: Request, reason: Reason) -> None:
         self._finish_refused(request, self.admission.refuse(reason))
 
