--- a/src/wisteriatiller/lease.py
+++ b/src/wisteriatiller/lease.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from absl import logging
-
 from .environment import Environment
 from .exceptions import check_invariant
 from .grantorviews import (
@@ -18,6 +16,7 @@
 )
 from .ids import HostId, ShardId
 from .leasemessages import LeaseRelease, LeaseReleased, LeaseReply, LeaseRequest
+from .logs import log_event
 from .membership import Membership
 from .ownership import Ownership, shard_key
 from .tasks import spawn
@@ -72,22 +71,6 @@
         """Give the lease up at the grantors so that a successor need not wait."""
 
 
-class StaticLeases(ShardLeases):
-    """The first-ranked host of a shard holds its lease for good."""
-
-    def __init__(self, is_first):
-        self._is_first = is_first
-
-    def remaining_s(self, shard):
-        return 3.0 if self._is_first(shard) else 0.0
-
-    def epoch(self, shard):
-        return 1 if self._is_first(shard) else 0
-
-    async def release(self, shard):
-        return None
-
-
 @dataclass(frozen=True, slots=True)
 class FormerHolder:
     """Who held a lease before, as a majority of grantors remembers it.
@@ -345,7 +328,7 @@
         for shard in tuple(self._held):
             if self.remaining_s(shard) <= 0:
                 self._environment.metrics.count("leases.expired")
-                logging.warning("event=lease_expired shard=%s", shard)
+                log_event("lease_expired", level="warning", shard=shard)
                 self._drop(shard)
 
     def _drop(self, shard: ShardId) -> None:
@@ -479,7 +462,7 @@
         self._backoffs.pop(shard, None)
         self._vacant_since_s.pop(shard, None)
         self._environment.metrics.count("leases.acquired")
-        logging.info("event=lease_acquired shard=%s epoch=%d", shard, epoch)
+        log_event("lease_acquired", shard=shard, epoch=epoch)
         self._ownership.publish_owner(shard, epoch)
         self.on_acquired(shard, epoch)
 
--- a/src/wisteriatiller/membership.py
+++ b/src/wisteriatiller/membership.py
@@ -6,7 +6,6 @@
 from enum import Enum
 
 from .ids import Address, HostId, ZoneId
-from .settings import HostSettings
 
 GossipListener = Callable[[str, int, object], None]
 
@@ -60,45 +59,3 @@
     @abstractmethod
     def subscribe(self, prefix: str, listener: GossipListener) -> None:
         """Call ``listener(key, version, value)`` for each newer value under prefix."""
-
-
-class StaticMembership(Membership):
-    """Every seed counts as live; values stay on this host."""
-
-    def __init__(self, settings: HostSettings):
-        self._hosts = {seed.host_id: seed for seed in settings.seeds}
-        self._values: dict[str, tuple[int, object]] = {}
-        self._listeners: list[tuple[str, GossipListener]] = []
-
-    def live_hosts(self, zone):
-        return tuple(h for h, seed in self._hosts.items() if seed.zone == zone)
-
-    def is_live(self, host_id):
-        return host_id in self._hosts
-
-    def zone_reachable(self, zone):
-        return True
-
-    def address_of(self, host_id):
-        seed = self._hosts.get(host_id)
-        return seed.address if seed else None
-
-    def members(self):
-        return tuple(
-            Member(seed.host_id, seed.zone, HostState.ALIVE, seed.address, 1)
-            for seed in self._hosts.values()
-        )
-
-    def publish(self, key, version, value):
-        if key in self._values and self._values[key][0] >= version:
-            return
-        self._values[key] = (version, value)
-        for prefix, listener in self._listeners:
-            if key.startswith(prefix):
-                listener(key, version, value)
-
-    def value(self, key):
-        return self._values.get(key)
-
-    def subscribe(self, prefix, listener):
-        self._listeners.append((prefix, listener))
--- a/src/wisteriatiller/opening.py
+++ b/src/wisteriatiller/opening.py
@@ -27,13 +27,6 @@
     ) -> UpstreamId: ...
 
 
-class HomeChooser(UpstreamChooser):
-    """Every flow is placed on its home."""
-
-    def choose(self, service, flow_key, home):
-        return home
-
-
 @dataclass(frozen=True, slots=True)
 class EarlierHome:
     """What the owners of a flow's earlier homes said.
--- a/testbed/bench_placement.py
+++ b/testbed/bench_placement.py
@@ -26,7 +26,7 @@
 from wisteriatiller.balance import BoundedLoadChooser
 from wisteriatiller.flows import FlowTable
 from wisteriatiller.ids import ServiceId, UpstreamId
-from wisteriatiller.opening import FlowOpener, HomeChooser
+from wisteriatiller.opening import FlowOpener
 from wisteriatiller.runtime import Host
 
 SERVICE = "stock-browser"
@@ -46,10 +46,9 @@
 def plain_hash(stack: ExitStack) -> None:
     """Forget every flow at each new configuration, so that only the table counts."""
     no_claims(stack)
-    choose = HomeChooser().choose
     stack.enter_context(
         mock.patch.object(
-            BoundedLoadChooser, "choose", lambda _, *arguments: choose(*arguments)
+            BoundedLoadChooser, "choose", lambda _, service, flow_key, home: home
         )
     )
     start = Host.start
--- a/testbed/policyworld.py
+++ b/testbed/policyworld.py
@@ -42,7 +42,7 @@
     UpstreamId,
     ZoneId,
 )
-from wisteriatiller.lease import StaticLeases
+from wisteriatiller.lease import ShardLeases
 from wisteriatiller.loads import LoadBoard
 from wisteriatiller.metrics import NullMetrics
 from wisteriatiller.ports import DatagramPort, PeerPort
@@ -63,6 +63,22 @@
 _virtual_loop = looptime.make_event_loop_class(asyncio.SelectorEventLoop)
 
 
+class StaticLeases(ShardLeases):
+    """The first-ranked host of a shard holds its lease for good."""
+
+    def __init__(self, is_first):
+        self._is_first = is_first
+
+    def remaining_s(self, shard):
+        return 3.0 if self._is_first(shard) else 0.0
+
+    def epoch(self, shard):
+        return 1 if self._is_first(shard) else 0
+
+    async def release(self, shard):
+        return None
+
+
 def run_virtual(coroutine):
     """Run a coroutine on virtual time."""
     factory = lambda: _virtual_loop(start=1000.0, noop_cycles=0)  # noqa: E731
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -20,13 +20,12 @@
 from testbed.store import KeyValues, routes
 from testbed.web import serve
 from tests import configurations
-from tests.fakes import FakeNetwork, run_virtual
+from tests.fakes import FakeNetwork, StaticMembership, run_virtual
 from wisteriatiller import cli, logs
 from wisteriatiller.admin import AdminServer, revision_view
 from wisteriatiller.configstore import CONFIG_KEY, ConfigFollower
 from wisteriatiller.ids import Address, HostId, ServiceId, UpstreamId
 from wisteriatiller.logs import event_line
-from wisteriatiller.membership import StaticMembership
 from wisteriatiller.outcomes import StoreUnavailable
 from wisteriatiller.ports import LoopClock
 from wisteriatiller.report import (
