--- a/src/wisteriatiller/flowplacing.py
+++ b/src/wisteriatiller/flowplacing.py
@@ -117,8 +117,10 @@
         decision: Coroutine[None, None, FlowRecord | OutcomeUnknown],
     ) -> None:
         flow_key = FlowKey(forward.flow_key)
-        outcome = await decision
-        waiting = owned.opening.pop(flow_key)
+        try:
+            outcome = await decision
+        finally:
+            waiting = owned.opening.pop(flow_key)
         if isinstance(outcome, OutcomeUnknown):
             for item in waiting:
                 self._replies.answer_unknown(item, outcome)
@@ -135,6 +137,9 @@
         if isinstance(earlier, OutcomeUnknown):
             return earlier
         if earlier.open_on is not None:
+            if earlier.open_on not in self._source.configuration.upstreams:
+                # The other owner has a newer revision, which this host takes soon.
+                return OutcomeUnknown(Reason.CLAIM_UNANSWERED)
             return self._record(owned, earlier.open_on)
         certain = earlier.certain and self._is_home(forward, service)
         return await self._choose(owned, forward, service, certain)
