Let a stopping host wait for shards that are being handed to it

Cause: a hand-over to a host that began to stop at that moment left the shard without an owner until another host noticed, for longer than a request waits for an owner.

--- a/src/wisteriatiller/handover.py
+++ b/src/wisteriatiller/handover.py
@@ -147,6 +147,7 @@
         self._replicator = replicator
         self._first_since_s: dict[ShardId, tuple[HostId, float]] = {}
         self._retry_at_s: dict[ShardId, float] = {}
+        self._acquiring: set[ShardId] = set()
         self._next_number = secrets.randbits(48) + 1
         # At most one hand-over at a time leaves a host, so that only one shard at a
         # time is paused.
@@ -170,12 +171,14 @@
     async def leave_all(self, timeout_s: float) -> bool:
         """Hand over every shard; False if some remain after the timeout.
 
+        A shard that is just being handed to this host is waited for, since nobody
+        else would seek its lease at once.
         Without a host to take a shard, its queue is worked off.
         """
         self._leases.is_leaving = True
         try:
             async with asyncio.timeout(timeout_s):
-                while list(self._shards):
+                while list(self._shards) or self._acquiring:
                     for owned in self._shards:
                         await self._leave(owned)
                     await asyncio.sleep(POLL_S)
@@ -339,8 +342,12 @@
 
     async def _acquire(self, shard: ShardId) -> None:
         deadline_s = self._now_s() + SEEK_FOR_S
-        while self._now_s() < deadline_s and not await self._leases.seek(shard):
-            await asyncio.sleep(SEEK_INTERVAL_S)
+        self._acquiring.add(shard)
+        try:
+            while self._now_s() < deadline_s and not await self._leases.seek(shard):
+                await asyncio.sleep(SEEK_INTERVAL_S)
+        finally:
+            self._acquiring.discard(shard)
 
     def _now_s(self) -> float:
         return self._environment.clock.now_s()
--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/runtime.py
@@ -154,6 +154,8 @@
         await self.membership.leave()
         await self.handover.leave_all(self.environment.settings.stop_timeout_s)
         await self._fabric_quiet()
+        # A hand-over that was agreed before may have brought another shard meanwhile.
+        await self.handover.leave_all(self.environment.settings.stop_timeout_s)
         await self.membership.stop()
 
     async def close(self) -> None:
--- a/tests/promises.feature
+++ b/tests/promises.feature
@@ -4,7 +4,8 @@
 
   Scenario Outline: Planned changes cut nothing
     # Guards against flows or requests lost in restarts, drains, joins and new weights.
-    # Seeds 5 and 6 left 36 and 51 outcomes unknown before backups were noted rightly.
+    # Seeds 5 and 6 left 36 and 51 outcomes unknown before backups were noted rightly,
+    # and seed 203 left 2 before a stopping host waited for shards on their way to it.
     When hosts restart and texts change for <minutes> minutes with seed <seed>
     Then every request of the random run was answered and no flow broke
 
@@ -13,6 +14,7 @@
       | 5    | 2.5     |
       | 6    | 1       |
       | 21   | 1       |
+      | 203  | 7       |
 
   Scenario Outline: Faults mix up nothing and run nothing twice
     # Guards against double runs, torn or foreign answers and a false "not run".
