--- a/src/wisteriatiller/outcomes.py
+++ b/src/wisteriatiller/outcomes.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import HostId, Revision, UpstreamId
+from .ids import Revision
 
 
 class Reason(Enum):
@@ -21,7 +21,6 @@
     QUEUE_FULL = "queue_full"
     OVER_SHARE = "over_share"
     DEPENDENCY = "dependency"
-    DRAINING = "draining"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_DOWN = "upstream_down"
     UPSTREAM_SHED = "upstream_shed"
@@ -32,11 +31,8 @@
     FLOW_LOST = "flow_lost"
     CLAIM_UNANSWERED = "claim_unanswered"
     TIMEOUT = "timeout"
-    STOPPING = "stopping"
     OWNER_CHANGED = "owner_changed"
     CANCELLED = "cancelled"
-    STORE = "store"
-    CONFLICT = "conflict"
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,20 +51,6 @@
     retry_after_s: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Redirected:
-    """The flow is placed on another upstream."""
-
-    upstream_id: UpstreamId
-
-
-@dataclass(frozen=True, slots=True)
-class NotOwner:
-    """This host does not own the upstream; ``owner`` does, if it is known."""
-
-    owner: HostId | None
-
-
 @dataclass(frozen=True, slots=True)
 class Unreachable:
     """No answer came from the peer within the time allowed."""
--- a/src/wisteriatiller/proxyheader.py
+++ b/src/wisteriatiller/proxyheader.py
@@ -80,11 +80,6 @@
     return FlowKey(header[PREFIX_BYTES : PREFIX_BYTES + _block_bytes(header)])
 
 
-def flow_header(header: bytes) -> bytes:
-    """The header without its TLVs."""
-    return make_header(flow_key(header))
-
-
 def make_header(key: FlowKey) -> bytes:
     """A datagram header with the address block ``key`` and no TLV."""
     family = DGRAM_IPV4 if len(key) == IPV4_BLOCK_BYTES else DGRAM_IPV6
