--- a/src/wisteriatiller/__init__.py
+++ b/src/wisteriatiller/__init__.py
@@ -8,17 +8,25 @@
     loaded = load_text(Path("services.json5").read_bytes(), "services.json5")
     if isinstance(loaded, Configuration):
         outcome = await submit(store, loaded, new_submission_id())
+
+The names below are imported when they are first used, so that the process that
+steers flows does not load the request path with them.
 """
 
-# The command line reads the version while this package is being imported.
+from importlib import import_module
+
 __version__ = "0.1.0"
 
-from .config import Configuration
-from .configstore import new_submission_id, submit
-from .configtext import load_text
-from .environment import Environment
-from .runtime import Host
-from .settings import HostSettings, load_settings
+_MODULES = {
+    "Configuration": "config",
+    "Environment": "environment",
+    "Host": "runtime",
+    "HostSettings": "settings",
+    "load_settings": "settings",
+    "load_text": "configtext",
+    "new_submission_id": "configstore",
+    "submit": "configstore",
+}
 
 __all__ = [
     "Configuration",
@@ -31,3 +39,10 @@
     "new_submission_id",
     "submit",
 ]
+
+
+def __getattr__(name: str) -> object:
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{module}"), name)
--- a/src/wisteriatiller/logs.py
+++ b/src/wisteriatiller/logs.py
@@ -7,13 +7,12 @@
 
 import json
 import logging as standard_logging
-import re
 import time
 
 from absl import flags, logging
 
-_PLAIN = re.compile(r"[^\s\"=\\\x00-\x1f\x7f-\x9f]+")
-_SECRET_NAME = re.compile(r"(?:peer_keys?|.*(?:secret|password|token))")
+from .eventline import event_line
+
 _LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -49,12 +48,6 @@
         log_event(event, level, **pairs)
 
 
-def event_line(event: str, **pairs: object) -> str:
-    parts = [f"event={event}"]
-    parts += [f"{name}={_value(name, value)}" for name, value in pairs.items()]
-    return " ".join(parts)
-
-
 def configure_logs(verbose: bool = False) -> None:
     """Send the log lines to standard error, with time and level in front."""
     # absl warns of logging before flags are parsed; this program has none.
@@ -78,17 +71,3 @@
             traceback = self.formatException(record.exc_info)
             message += f" traceback={json.dumps(traceback)}"
         return f"time={seconds}.{int(record.msecs):03d}Z level={level} {message}"
-
-
-def _value(name: str, value: object) -> str:
-    if _SECRET_NAME.fullmatch(name):
-        return "redacted"
-    if isinstance(value, bool):
-        return str(value).lower()
-    if isinstance(value, bytes):
-        # Bytes may hold a caller's data or a key, so only their size is written.
-        return f"{len(value)}_bytes"
-    if isinstance(value, float):
-        return f"{value:.6g}"
-    text = str(value)
-    return text if _PLAIN.fullmatch(text) else json.dumps(text)
--- /dev/null
+++ b/src/wisteriatiller/network/httpclient.py
@@ -0,0 +1,189 @@
+"""One kept-alive HTTP connection that carries one request at a time."""
+
+import socket
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from httptools import HttpParserError, HttpResponseParser
+
+from wisteriatiller.ids import Address
+
+from .loop import EventLoop, Timer
+
+RECEIVE_BYTES = 262_144
+
+
+class FailureReason(Enum):
+    TIMEOUT = "timeout"
+    CLOSED = "closed"
+    BROKEN = "broken"
+    TOO_LARGE = "too_large"
+
+
+class HttpRequest(NamedTuple):
+    """A request with its own limit of time; ``body`` is sent as JSON."""
+
+    method: str
+    target: str
+    timeout_s: float
+    body: bytes | None = None
+
+
+class HttpResponse(NamedTuple):
+    status: int
+    body: bytes
+
+
+class HttpFailure(NamedTuple):
+    """No whole response came; the request may have been carried out."""
+
+    reason: FailureReason
+    detail: str
+
+
+HttpResult = HttpResponse | HttpFailure
+
+
+class HttpConnection:
+    """Connects when it has a request and closes after a failure.
+
+    The callback gets the result in the loop's turn. A new request is allowed only
+    after the result of the one before.
+    """
+
+    def __init__(self, loop: EventLoop, address: Address, max_body_bytes: int):
+        self._loop = loop
+        self._address = address
+        self._max_body_bytes = max_body_bytes
+        self._socket: socket.socket | None = None
+        self._unsent = b""
+        self._done: Callable[[HttpResult], None] | None = None
+        self._timer: Timer | None = None
+        self._parser: HttpResponseParser | None = None
+        self._body = bytearray()
+        self._is_complete = False
+
+    def request(self, request: HttpRequest, done: Callable[[HttpResult], None]) -> None:
+        if self._done is not None:
+            raise RuntimeError("the connection has a request in progress")
+        self._done = done
+        self._parser = HttpResponseParser(self)
+        self._body = bytearray()
+        self._is_complete = False
+        self._unsent = self._encode(request)
+        self._timer = self._loop.call_later(request.timeout_s, self._time_out)
+        if self._socket is None:
+            self._connect()
+        else:
+            self._write()
+
+    def close(self) -> None:
+        """Close the connection; a request in progress gets no result."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._done = None
+        self._disconnect()
+
+    def on_body(self, data: bytes) -> None:
+        """Called by the parser with a part of the body."""
+        self._body += data
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of the response."""
+        self._is_complete = True
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        head = (
+            f"{request.method} {request.target} HTTP/1.1\r\nHost: {self._address}\r\n"
+        )
+        if request.body is None:
+            return f"{head}\r\n".encode()
+        head += "Content-Type: application/json\r\n"
+        head += f"Content-Length: {len(request.body)}\r\n\r\n"
+        return head.encode() + request.body
+
+    def _connect(self) -> None:
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            self._socket.connect(self._address)
+        except BlockingIOError:
+            self._loop.watch(self._socket, None, self._write)
+        except OSError as error:
+            self._fail_later(FailureReason.CLOSED, str(error))
+        else:
+            self._write()
+
+    def _write(self) -> None:
+        try:
+            sent = self._socket.send(self._unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self._fail_later(FailureReason.CLOSED, str(error))
+            return
+        self._unsent = self._unsent[sent:]
+        self._loop.watch(
+            self._socket, self._read, self._write if self._unsent else None
+        )
+
+    def _read(self) -> None:
+        try:
+            data = self._socket.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(FailureReason.CLOSED, str(error))
+            return
+        if not data:
+            self._fail(FailureReason.CLOSED, "end of stream")
+            return
+        if self._done is None:
+            self._fail(FailureReason.BROKEN, "bytes without a request")
+            return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError as error:
+            self._fail(FailureReason.BROKEN, str(error))
+            return
+        if len(self._body) > self._max_body_bytes:
+            self._fail(FailureReason.TOO_LARGE, f"over {self._max_body_bytes} bytes")
+        elif self._is_complete:
+            self._finish()
+
+    def _finish(self) -> None:
+        response = HttpResponse(self._parser.get_status_code(), bytes(self._body))
+        self._body = bytearray()
+        if not self._parser.should_keep_alive():
+            self._disconnect()
+        self._give(response)
+
+    def _time_out(self) -> None:
+        self._fail(FailureReason.TIMEOUT, "no whole response in time")
+
+    def _fail_later(self, reason: FailureReason, detail: str) -> None:
+        # The caller of request() must not get the result before the call returns.
+        self._disconnect()
+        self._loop.call_later(0.0, lambda: self._fail(reason, detail))
+
+    def _fail(self, reason: FailureReason, detail: str) -> None:
+        self._disconnect()
+        self._give(HttpFailure(reason, detail))
+
+    def _give(self, result: HttpResult) -> None:
+        done, self._done = self._done, None
+        if self._timer is not None:
+            self._timer.cancel()
+        if done is not None:
+            done(result)
+
+    def _disconnect(self) -> None:
+        if self._socket is not None:
+            self._loop.watch(self._socket, None)
+            self._socket.close()
+            self._socket = None
--- /dev/null
+++ b/src/wisteriatiller/network/httpserver.py
@@ -0,0 +1,155 @@
+"""A small HTTP server for a host's own pages: GET only, one task a connection."""
+
+import socket
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from httptools import HttpParserError, HttpRequestParser
+
+from wisteriatiller.ids import Address
+
+from .loop import EventLoop, Timer
+
+MAX_REQUEST_BYTES = 16_384
+MAX_CONNECTIONS = 64
+IDLE_TIMEOUT_S = 30.0
+BACKLOG = 64
+
+_REASONS = {200: "OK", 404: "Not Found", 405: "Method Not Allowed"}
+
+
+class Page(NamedTuple):
+    """What a path answers."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "text/plain; charset=utf-8"
+
+
+# Called with the query of the request.
+PageProvider = Callable[[str], Page]
+
+
+class HttpServer:
+    """Serves pages by path at one address."""
+
+    def __init__(
+        self, loop: EventLoop, listen: Address, pages: Mapping[str, PageProvider]
+    ):
+        self._loop = loop
+        self._pages = pages
+        self._connections: dict[_Connection, None] = {}
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind(listen)
+        self._socket.listen(BACKLOG)
+        self.address = Address(*self._socket.getsockname())
+        loop.watch(self._socket, self._accept)
+
+    def close(self) -> None:
+        self._loop.watch(self._socket, None)
+        self._socket.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def page(self, method: str, target: str) -> Page:
+        """The answer to one request."""
+        path, _, query = target.partition("?")
+        provider = self._pages.get(path)
+        if provider is None:
+            return Page(404)
+        if method != "GET":
+            return Page(405)
+        return provider(query)
+
+    def forget(self, connection: "_Connection") -> None:
+        self._connections.pop(connection, None)
+
+    def _accept(self) -> None:
+        try:
+            accepted, _ = self._socket.accept()
+        except OSError:
+            # The caller left before its connection was taken.
+            return
+        if len(self._connections) >= MAX_CONNECTIONS:
+            oldest = next(iter(self._connections))
+            oldest.close()
+        self._connections[_Connection(self._loop, accepted, self)] = None
+
+
+class _Connection:
+    """One accepted connection with its requests, one after the other."""
+
+    def __init__(self, loop: EventLoop, accepted: socket.socket, server: HttpServer):
+        self._loop = loop
+        self._socket = accepted
+        self._server = server
+        self._socket.setblocking(False)
+        self._unsent = b""
+        self._received = 0
+        self._target = b""
+        self._parser = HttpRequestParser(self)
+        self._timer: Timer = loop.call_later(IDLE_TIMEOUT_S, self.close)
+        loop.watch(self._socket, self._read)
+
+    def close(self) -> None:
+        self._timer.cancel()
+        self._loop.watch(self._socket, None)
+        self._socket.close()
+        self._server.forget(self)
+
+    def on_url(self, url: bytes) -> None:
+        """Called by the parser with a part of the target."""
+        self._target += url
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of a request."""
+        method = self._parser.get_method().decode("ascii", "replace")
+        page = self._server.page(method, self._target.decode("ascii", "replace"))
+        head = (
+            f"HTTP/1.1 {page.status} {_REASONS.get(page.status, 'Unavailable')}\r\n"
+            f"Content-Type: {page.content_type}\r\n"
+            f"Content-Length: {len(page.body)}\r\n\r\n"
+        )
+        self._unsent += head.encode() + page.body
+        self._target = b""
+        self._received = 0
+
+    def _read(self) -> None:
+        try:
+            data = self._socket.recv(MAX_REQUEST_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        self._received += len(data)
+        if not data or self._received > MAX_REQUEST_BYTES:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError:
+            self.close()
+            return
+        self._restart_timer()
+        self._write()
+
+    def _restart_timer(self) -> None:
+        self._timer.cancel()
+        self._timer = self._loop.call_later(IDLE_TIMEOUT_S, self.close)
+
+    def _write(self) -> None:
+        if not self._unsent:
+            return
+        try:
+            sent = self._socket.send(self._unsent)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close()
+            return
+        self._unsent = self._unsent[sent:]
+        self._loop.watch(
+            self._socket, self._read, self._write if self._unsent else None
+        )
--- /dev/null
+++ b/src/wisteriatiller/network/loop.py
@@ -0,0 +1,128 @@
+"""A small event loop for processes that must start fast and stay small.
+
+``asyncio`` alone costs a host as much memory and start time as all else that it
+carries; ``docs/platform.md`` has the figures.
+"""
+
+import heapq
+import selectors
+import signal
+import socket
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from itertools import count
+
+MAX_WAIT_S = 1.0
+_READ = selectors.EVENT_READ
+_WRITE = selectors.EVENT_WRITE
+
+
+class Timer:
+    """A call that is due at a time; ``cancel`` keeps it from being made."""
+
+    __slots__ = ("callback", "is_cancelled")
+
+    def __init__(self, callback: Callable[[], None]):
+        self.callback = callback
+        self.is_cancelled = False
+
+    def cancel(self) -> None:
+        self.is_cancelled = True
+
+
+class Scheduler(ABC):
+    """The clock and the timers that decisions use; tests bring their own."""
+
+    @abstractmethod
+    def now_s(self) -> float:
+        """Seconds on a clock that never jumps."""
+
+    @abstractmethod
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer: ...
+
+
+class EventLoop(Scheduler):
+    """Waits for sockets, timers and signals in one thread."""
+
+    def __init__(self):
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._order = count()
+        self._is_stopped = False
+
+    def now_s(self) -> float:
+        # This clock counts the time that the machine is suspended, so that what was
+        # due meanwhile is done at once.
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Timer:
+        timer = Timer(callback)
+        due_s = self.now_s() + delay_s
+        heapq.heappush(self._timers, (due_s, next(self._order), timer))
+        return timer
+
+    def watch(
+        self,
+        watched: socket.socket,
+        on_readable: Callable[[], None] | None,
+        on_writable: Callable[[], None] | None = None,
+    ) -> None:
+        """Replace what a socket is watched for; with neither, stop watching it."""
+        events = (_READ if on_readable else 0) | (_WRITE if on_writable else 0)
+        is_known = watched.fileno() in self._selector.get_map()
+        if not events:
+            if is_known:
+                self._selector.unregister(watched)
+        elif is_known:
+            self._selector.modify(watched, events, (on_readable, on_writable))
+        else:
+            self._selector.register(watched, events, (on_readable, on_writable))
+
+    def on_signal(self, number: int, callback: Callable[[], None]) -> None:
+        """Call back in the loop's own turn after a signal."""
+        signal.signal(number, lambda *_: self.call_later(0.0, callback))
+        if signal.set_wakeup_fd(-1) == -1:
+            self._open_wakeup()
+        signal.set_wakeup_fd(self._wakeup_write.fileno(), warn_on_full_buffer=False)
+
+    def run(self) -> None:
+        while not self._is_stopped:
+            self.run_once()
+
+    def stop(self) -> None:
+        self._is_stopped = True
+
+    def run_once(self) -> None:
+        for key, events in self._selector.select(self._wait_s()):
+            on_readable, on_writable = key.data
+            if events & _READ and on_readable:
+                on_readable()
+            if events & _WRITE and on_writable and self._is_watched(key):
+                on_writable()
+        self._run_timers()
+
+    def _is_watched(self, key: selectors.SelectorKey) -> bool:
+        """Whether the read callback has left the socket open."""
+        return key.fd in self._selector.get_map()
+
+    def _run_timers(self) -> None:
+        now_s = self.now_s()
+        while self._timers and self._timers[0][0] <= now_s:
+            _, _, timer = heapq.heappop(self._timers)
+            if not timer.is_cancelled:
+                timer.callback()
+
+    def _wait_s(self) -> float:
+        while self._timers and self._timers[0][2].is_cancelled:
+            heapq.heappop(self._timers)
+        if not self._timers:
+            return MAX_WAIT_S
+        return min(MAX_WAIT_S, max(0.0, self._timers[0][0] - self.now_s()))
+
+    def _open_wakeup(self) -> None:
+        # A signal has to end a wait that has begun already.
+        wakeup_read, self._wakeup_write = socket.socketpair()
+        wakeup_read.setblocking(False)
+        self._wakeup_write.setblocking(False)
+        self.watch(wakeup_read, lambda: wakeup_read.recv(64))
--- /dev/null
+++ b/src/wisteriatiller/platform/packets.py
@@ -0,0 +1,87 @@
+"""The layout of the platform's packets."""
+
+import struct
+
+from wisteriatiller.ids import Address, FlowKey, UpstreamId
+from wisteriatiller.steering import (
+    Packet,
+    PacketCodec,
+    PacketKind,
+    ServiceAddress,
+    Tag,
+    Upstream,
+)
+
+HEADER_BYTES = 32
+MAX_PAYLOAD_BYTES = 1200
+
+# echo, src, sport, dst, dport, len, seq, ack, flags, pad, sum
+_HEADER = struct.Struct(">IIHIHHIIBBI")
+_SYN = 8
+_ACK = 16
+_FIN = 2
+_RST = 64
+_UPSTREAM_ID = struct.Struct(">Q")
+
+
+def intended_number(upstream_id: UpstreamId) -> int:
+    """The number that names an upstream in front of a packet.
+
+    It is written as hexadecimal digits in the id; ``ValueError`` if it is not.
+
+    >>> intended_number("i-7f3a91c2") == 0x7F3A91C2
+    True
+    """
+    number = int(upstream_id.rpartition("-")[2], 16)
+    if not 0 < number < 1 << 64:
+        raise ValueError(f"no number of 64 bits in {upstream_id!r}")
+    return number
+
+
+class FlowPacketCodec(PacketCodec):
+    """Reads the header of 32 bytes; ``return_port`` takes the clients' packets."""
+
+    def __init__(self, return_port: int):
+        self._return_port = return_port
+
+    def decode(self, data):
+        if not HEADER_BYTES <= len(data) <= HEADER_BYTES + MAX_PAYLOAD_BYTES:
+            return None
+        # The field "echo" is the tag that the client got last on this flow, and
+        # "ack" of an opening packet counts the copies before it.
+        echo, _, _, _, _, length, seq, ack, flags, _, _ = _HEADER.unpack_from(data)
+        if length != len(data) - HEADER_BYTES:
+            return None
+        kind = _kind(flags)
+        return Packet(
+            flow=FlowKey(data[4:16]),
+            service_address=ServiceAddress(data[10:16]),
+            kind=kind,
+            tag=Tag(echo),
+            sequence=seq,
+            acknowledged=ack,
+            payload_bytes=length,
+            copy=ack if kind is PacketKind.OPENING else 0,
+        )
+
+    def for_upstream(self, data, upstream: Upstream, tag):
+        number = intended_number(upstream.upstream_id)
+        return _UPSTREAM_ID.pack(number) + tag.to_bytes(4, "big") + data[4:]
+
+    def reset(self, data):
+        _, src, sport, dst, dport, _, _, ack, flags, _, _ = _HEADER.unpack_from(data)
+        # Of an opening packet "ack" is no acknowledgement, and any number will do.
+        seq = 0 if flags & _SYN else ack
+        header = _HEADER.pack(0, dst, dport, src, sport, 0, seq, 0, _RST, 0, 0)
+        client_ip = ".".join(map(str, data[4:8]))
+        return header, Address(client_ip, self._return_port)
+
+
+def _kind(flags: int) -> PacketKind:
+    if flags & _RST:
+        return PacketKind.ABORTING
+    if flags & _SYN:
+        return PacketKind.UPSTREAM_ONLY if flags & _ACK else PacketKind.OPENING
+    if flags & _FIN:
+        return PacketKind.CLOSING
+    return PacketKind.ESTABLISHED
--- /dev/null
+++ b/src/wisteriatiller/platform/settingsfile.py
@@ -0,0 +1,101 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+
+from wisteriatiller.ids import Address, HostId, ZoneId
+from wisteriatiller.steering import SteeringSettings
+
+PATH_VARIABLE = "WISTERIATILLER_CONFIG"
+DEFAULT_PATH = "/etc/wisteriatiller/boot.conf"
+METRICS_PORT = 9464
+# After a failed probe or two, half a second apart, the routers have moved.
+STOP_TIMEOUT_S = 2.0
+DEFAULT_VALUE_BYTES = 1_048_576
+
+
+class SettingsFileError(Exception):
+    """The settings file lacks something that a host needs."""
+
+
+def settings_path() -> str:
+    return os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
+
+
+def read_settings(path: str) -> SteeringSettings:
+    """Read the file; ``SettingsFileError`` names the first field that is wrong."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsFileError(f"{path}: {error}") from error
+    return decode_settings(text, path)
+
+
+def decode_settings(text: str, path: str) -> SteeringSettings:
+    fields = _Fields(text, path)
+    ready_listen = fields.address("listen_addrs.ready_addr")
+    data_listen = fields.address("listen_addrs.datagram_addr")
+    stop_timeout_s = min(STOP_TIMEOUT_S, fields.number("bounds.grace_s", 6.0) / 2)
+    # The value is counted before it is written as base64 inside JSON.
+    value_bytes = fields.number("platform.value_bytes", DEFAULT_VALUE_BYTES)
+    return SteeringSettings(
+        host_id=HostId(fields.text("node_name")),
+        zone=ZoneId(fields.text("zone")),
+        data_listen=data_listen,
+        ready_listen=ready_listen,
+        control_listen=fields.optional_address("listen_addrs.control"),
+        metrics_listen=Address(ready_listen.ip, METRICS_PORT),
+        return_port=data_listen.port,
+        store=fields.address("platform.address"),
+        seeds=fields.addresses("seeds"),
+        stop_timeout_s=stop_timeout_s,
+        max_value_bytes=int(value_bytes),
+    )
+
+
+class _Fields:
+    """Lines of the form ``a.b=value``; unknown ones are ignored."""
+
+    def __init__(self, text: str, path: str):
+        self._path = path
+        pairs = (line.split("=", 1) for line in text.splitlines() if "=" in line)
+        self._values = {name.strip(): value.strip() for name, value in pairs}
+
+    def text(self, name: str) -> str:
+        value = self._values.get(name, "")
+        if not value:
+            raise SettingsFileError(f"{self._path}: {name}: missing")
+        return value
+
+    def number(self, name: str, default: float) -> float:
+        value = self._values.get(name, "")
+        if not value:
+            return default
+        try:
+            number = float(value)
+        except ValueError:
+            raise self._malformed(name, value, "a number") from None
+        if number <= 0:
+            raise self._malformed(name, value, "a number above 0")
+        return number
+
+    def address(self, name: str) -> Address:
+        return self._address(name, self.text(name))
+
+    def optional_address(self, name: str) -> Address | None:
+        return self.address(name) if self._values.get(name) else None
+
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        values = self._values.get(name, "").split(",")
+        return tuple(self._address(name, value) for value in values if value)
+
+    def _address(self, name: str, value: str) -> Address:
+        try:
+            return Address.parse(value)
+        except ValueError:
+            raise self._malformed(name, value, "IP:PORT") from None
+
+    def _malformed(self, name: str, value: str, allowed: str) -> SettingsFileError:
+        return SettingsFileError(
+            f"{self._path}: {name}: found {value!r}, expected {allowed}"
+        )
--- /dev/null
+++ b/src/wisteriatiller/platform/store.py
@@ -0,0 +1,211 @@
+"""The one client of the platform's store."""
+
+import base64
+import json
+from collections.abc import Callable
+
+from wisteriatiller.ids import Revision, UpstreamId
+from wisteriatiller.network import (
+    EventLoop,
+    HttpConnection,
+    HttpFailure,
+    HttpRequest,
+    HttpResponse,
+    HttpResult,
+)
+from wisteriatiller.steering import Listing, SteeringSettings, StoreReader, Upstream
+from wisteriatiller.steering.ports import (
+    ConfigAnswer,
+    ConfigInvalid,
+    ConfigMissing,
+    ConfigRead,
+    ConfigUnchanged,
+    HistoryLost,
+    StoreFailure,
+    StoreFailureReason,
+)
+
+from .entries import EntryError, decode_config, decode_upstream
+
+CONFIG_KEY = "op/config"
+UPSTREAM_PREFIX = "servers/"
+# Base64 and JSON around a value, or a page of many of them.
+BODY_FACTOR = 4
+# How much later than its own limit the store may end a wait.
+WATCH_SLACK_S = 0.7
+
+
+class PlatformStore(StoreReader):
+    """Reads through two connections, so that a waiting watch delays no listing."""
+
+    def __init__(self, loop: EventLoop, settings: SteeringSettings):
+        self._loop = loop
+        self._settings = settings
+        self._address = settings.store
+        self._config_connection = self._connect()
+        self._list_connection = self._connect()
+
+    def move_to(self, address):
+        self._address = address
+        self._config_connection = self._connect()
+        self._list_connection = self._connect()
+
+    def read_config(self, done):
+        self._get(
+            self._config_connection,
+            f"/kv-key?key={CONFIG_KEY}",
+            self._settings.store_timeout_s,
+            lambda result: done(_config_answer(result)),
+        )
+
+    def watch_config(self, after, wait_s, done):
+        wait_ms = round(1000 * wait_s)
+        self._get(
+            self._config_connection,
+            f"/kv-watch?prefix={CONFIG_KEY}&after={after}&wait_ms={wait_ms}",
+            wait_s + WATCH_SLACK_S,
+            lambda result: done(_watch_answer(result)),
+        )
+
+    def list_upstreams(self, done):
+        self._list_page(_ListingBuilder(), done)
+
+    def _list_page(
+        self, builder: "_ListingBuilder", done: Callable[[Listing | StoreFailure], None]
+    ) -> None:
+        def take(result: HttpResult) -> None:
+            body = _body(result)
+            if isinstance(body, StoreFailure):
+                done(body)
+                return
+            try:
+                is_last = builder.add_page(body)
+            except (ValueError, TypeError, LookupError) as error:
+                done(StoreFailure(StoreFailureReason.UNREADABLE, repr(error)))
+                return
+            if is_last:
+                done(builder.listing())
+            else:
+                self._list_page(builder, done)
+
+        target = f"/kv-range?prefix={UPSTREAM_PREFIX}&serializable=1"
+        if builder.last_key:
+            target += f"&after={builder.last_key}"
+        timeout_s = self._settings.store_timeout_s
+        self._get(self._list_connection, target, timeout_s, take)
+
+    def _get(
+        self,
+        connection: HttpConnection,
+        target: str,
+        timeout_s: float,
+        done: Callable[[HttpResult], None],
+    ) -> None:
+        connection.request(HttpRequest("GET", target, timeout_s), done)
+
+    def _connect(self) -> HttpConnection:
+        max_body_bytes = BODY_FACTOR * self._settings.max_value_bytes
+        return HttpConnection(self._loop, self._address, max_body_bytes)
+
+
+class _ListingBuilder:
+    """Puts the pages of one listing together."""
+
+    def __init__(self):
+        self.last_key = ""
+        self._revision: Revision | None = None
+        self._upstreams: dict[UpstreamId, Upstream] = {}
+        self._unreadable: set[UpstreamId] = set()
+
+    def add_page(self, body: dict) -> bool:
+        """Take one page over; True if it is the last one."""
+        if self._revision is None:
+            # Later pages may be newer; the listing is as old as its first page.
+            self._revision = Revision(int(body["store_revision"]))
+        items = body["items"]
+        for item in items:
+            self._add(item)
+        if not body["truncated"] or not items:
+            return True
+        self.last_key = items[-1]["key"]
+        return False
+
+    def listing(self) -> Listing:
+        return Listing(
+            revision=self._revision,
+            upstreams=tuple(self._upstreams.values()),
+            unreadable=frozenset(self._unreadable),
+        )
+
+    def _add(self, item: dict) -> None:
+        upstream_id = UpstreamId(item["key"].removeprefix(UPSTREAM_PREFIX))
+        try:
+            data = base64.b64decode(item["value"], validate=True)
+            self._upstreams[upstream_id] = decode_upstream(upstream_id, data)
+        except (EntryError, ValueError, TypeError, KeyError):
+            self._unreadable.add(upstream_id)
+
+
+def _body(result: HttpResult) -> dict | StoreFailure:
+    """The JSON object of a successful response."""
+    if isinstance(result, HttpFailure):
+        detail = f"{result.reason.value}: {result.detail}"
+        return StoreFailure(StoreFailureReason.UNREACHABLE, detail)
+    if result.status != 200:
+        return StoreFailure(StoreFailureReason.REFUSED, f"status {result.status}")
+    try:
+        body = json.loads(result.body)
+    except (ValueError, RecursionError) as error:
+        return StoreFailure(StoreFailureReason.UNREADABLE, str(error))
+    if not isinstance(body, dict):
+        return StoreFailure(StoreFailureReason.UNREADABLE, "no JSON object")
+    return body
+
+
+def _config_answer(result: HttpResult) -> ConfigAnswer:
+    if isinstance(result, HttpResponse) and result.status == 404:
+        return ConfigMissing(_missing_revision(result))
+    body = _body(result)
+    if isinstance(body, StoreFailure):
+        return body
+    try:
+        return _decoded_config(Revision(int(body["store_revision"])), body)
+    except (ValueError, TypeError, LookupError) as error:
+        return StoreFailure(StoreFailureReason.UNREADABLE, repr(error))
+
+
+def _missing_revision(result: HttpResponse) -> Revision:
+    """The store's revision, if its answer names one; 0 asks for all changes."""
+    try:
+        return Revision(int(json.loads(result.body)["store_revision"]))
+    except (ValueError, TypeError, LookupError):
+        return Revision(0)
+
+
+def _watch_answer(result: HttpResult) -> ConfigAnswer:
+    if isinstance(result, HttpResponse) and result.status == 410:
+        return HistoryLost()
+    body = _body(result)
+    if isinstance(body, StoreFailure):
+        return body
+    try:
+        revision = Revision(int(body["store_revision"]))
+        writes = [
+            event
+            for event in body["events"]
+            if event["key"] == CONFIG_KEY and "tombstone" not in event
+        ]
+        if not writes:
+            return ConfigUnchanged(revision)
+        newest = max(writes, key=lambda event: event["revision"])
+        return _decoded_config(revision, newest)
+    except (ValueError, TypeError, LookupError) as error:
+        return StoreFailure(StoreFailureReason.UNREADABLE, repr(error))
+
+
+def _decoded_config(revision: Revision, item: dict) -> ConfigRead | ConfigInvalid:
+    try:
+        data = base64.b64decode(item["value"], validate=True)
+        return ConfigRead(revision, decode_config(data))
+    except (EntryError, ValueError) as error:
+        return ConfigInvalid(revision, str(error))
--- /dev/null
+++ b/src/wisteriatiller/steering/evidence.py
@@ -0,0 +1,123 @@
+"""What the clients' own packets say about each upstream.
+
+A client's packet that acknowledges more than the one before proves that its upstream
+was alive a round trip ago. A packet that the client repeats speaks against the
+upstream, or against the path to it, unless the upstream has answered another flow in
+the meantime.
+"""
+
+from enum import Enum
+
+from wisteriatiller.ids import FlowKey, UpstreamId
+
+# One flow alone may repeat because its own packet or the answer was lost.
+SUSPECT_FLOWS = 2
+SUSPECT_REPEATS = 3
+# A suspect takes one new flow after this time, longer each time that one fails.
+MIN_EJECTION_S = 1.0
+MAX_EJECTION_S = 4.0
+# After its return an upstream takes a growing share of new flows for this long.
+RETURN_RAMP_S = 2.0
+RETURN_WEIGHT = 0.25
+# What speaks against an upstream counts for this long.
+COMPLAINT_KEPT_S = 3.0
+
+
+class Verdict(Enum):
+    TRUSTED = "trusted"
+    SUSPECT = "suspect"
+
+
+class UpstreamEvidence:
+    """The evidence about one upstream."""
+
+    __slots__ = (
+        "_complaints",
+        "_ejection_s",
+        "_last_complaint_s",
+        "_repeats",
+        "_retry_at_s",
+        "_returned_at_s",
+        "last_progress_s",
+        "verdict",
+    )
+
+    def __init__(self):
+        self.verdict = Verdict.TRUSTED
+        self.last_progress_s = float("-inf")
+        self._complaints: set[FlowKey] = set()
+        self._repeats = 0
+        self._last_complaint_s = float("-inf")
+        self._ejection_s = MIN_EJECTION_S
+        self._retry_at_s = 0.0
+        self._returned_at_s = float("-inf")
+
+    def progress(self, now_s: float) -> bool:
+        """Note a sign of life; True if it ends a suspicion."""
+        self.last_progress_s = now_s
+        if self._repeats:
+            self._complaints.clear()
+            self._repeats = 0
+        if self.verdict is Verdict.TRUSTED:
+            return False
+        self.verdict = Verdict.TRUSTED
+        self._ejection_s = MIN_EJECTION_S
+        self._returned_at_s = now_s
+        return True
+
+    def complaint(self, flow: FlowKey, sent_at_s: float, now_s: float) -> bool:
+        """Note that a packet sent at ``sent_at_s`` was repeated.
+
+        Returns True if it makes the upstream a suspect.
+        """
+        if self.last_progress_s >= sent_at_s:
+            return False
+        if now_s - self._last_complaint_s > COMPLAINT_KEPT_S:
+            self._complaints.clear()
+            self._repeats = 0
+        self._last_complaint_s = now_s
+        self._complaints.add(flow)
+        self._repeats += 1
+        if self.verdict is Verdict.SUSPECT:
+            return False
+        if len(self._complaints) < SUSPECT_FLOWS and self._repeats < SUSPECT_REPEATS:
+            return False
+        self.verdict = Verdict.SUSPECT
+        self._retry_at_s = now_s + self._ejection_s
+        return True
+
+    def complaining_flows(self) -> int:
+        return len(self._complaints)
+
+    def is_due(self, now_s: float) -> bool:
+        """Whether a suspect may be tried with one new flow."""
+        return now_s >= self._retry_at_s
+
+    def note_trial(self, now_s: float) -> None:
+        """Note that a suspect gets a new flow; the next one has to wait longer."""
+        self._ejection_s = min(2 * self._ejection_s, MAX_EJECTION_S)
+        self._retry_at_s = now_s + self._ejection_s
+
+    def weight(self, now_s: float) -> float:
+        """The share of new flows that a returned upstream takes, up to 1."""
+        returned_s = now_s - self._returned_at_s
+        if returned_s >= RETURN_RAMP_S:
+            return 1.0
+        return RETURN_WEIGHT + (1.0 - RETURN_WEIGHT) * returned_s / RETURN_RAMP_S
+
+
+class Evidence:
+    """The evidence about all upstreams."""
+
+    def __init__(self):
+        self._upstreams: dict[UpstreamId, UpstreamEvidence] = {}
+
+    def of(self, upstream_id: UpstreamId) -> UpstreamEvidence:
+        found = self._upstreams.get(upstream_id)
+        if found is None:
+            found = self._upstreams[upstream_id] = UpstreamEvidence()
+        return found
+
+    def forget(self, upstream_id: UpstreamId) -> None:
+        """Start anew, since the upstream is gone or has a new lifetime."""
+        self._upstreams.pop(upstream_id, None)
--- /dev/null
+++ b/src/wisteriatiller/steering/followers.py
@@ -0,0 +1,186 @@
+"""Keeps the configuration view and the directory up to date from the store."""
+
+import random
+from abc import ABC, abstractmethod
+
+from wisteriatiller.ids import NO_REVISION, Revision
+from wisteriatiller.network.loop import Scheduler
+
+from .directory import Change, UpstreamDirectory
+from .ports import (
+    ConfigAnswer,
+    ConfigInvalid,
+    ConfigMissing,
+    ConfigRead,
+    HistoryLost,
+    StoreFailure,
+    StoreReader,
+)
+from .routes import ConfigView
+from .settings import SteeringSettings
+from .upstreams import Listing
+
+MAX_RETRY_S = 1.0
+# Hosts that start together must not call together for the rest of the day.
+JITTER = 0.2
+
+
+class FollowerObserver(ABC):
+    """Learns what the followers take over, and when the store is lost."""
+
+    @abstractmethod
+    def config_applied(self, view: ConfigView, source: str) -> None: ...
+
+    @abstractmethod
+    def config_invalid(self, answer: ConfigInvalid) -> None: ...
+
+    @abstractmethod
+    def directory_applied(self, changes: list[Change], source: str) -> None: ...
+
+    @abstractmethod
+    def store_failed(self, call: str, failure: StoreFailure, failures: int) -> None: ...
+
+    @abstractmethod
+    def store_answered(self, call: str, waited_s: float) -> None: ...
+
+
+class _Retry:
+    """Pauses between failed calls, longer each time."""
+
+    def __init__(self, first_s: float):
+        self._first_s = first_s
+        self.failures = 0
+
+    def succeeded(self) -> None:
+        self.failures = 0
+
+    def failed(self) -> float:
+        """The pause before the next call."""
+        pause_s = min(MAX_RETRY_S, self._first_s * 2**self.failures)
+        self.failures += 1
+        return _jittered(pause_s)
+
+
+class ConfigFollower:
+    """Reads the configuration once, then watches it."""
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        scheduler: Scheduler,
+        store: StoreReader,
+        view: ConfigView,
+        observer: FollowerObserver,
+    ):
+        self._settings = settings
+        self._scheduler = scheduler
+        self._store = store
+        self._view = view
+        self._observer = observer
+        self._revision: Revision = NO_REVISION
+        self._retry = _Retry(settings.store_retry_s)
+        self._asked_at_s = 0.0
+
+    def start(self) -> None:
+        self._read()
+
+    def is_lost(self) -> bool:
+        return self._retry.failures > 0
+
+    def _read(self) -> None:
+        self._asked_at_s = self._scheduler.now_s()
+        self._store.read_config(lambda answer: self._take("read_config", answer))
+
+    def _watch(self) -> None:
+        self._asked_at_s = self._scheduler.now_s()
+        self._store.watch_config(
+            self._revision,
+            self._settings.watch_wait_s,
+            lambda answer: self._take("watch_config", answer),
+        )
+
+    def _take(self, call: str, answer: ConfigAnswer) -> None:
+        if isinstance(answer, StoreFailure):
+            pause_s = self._retry.failed()
+            self._observer.store_failed(call, answer, self._retry.failures)
+            again = self._watch if self._revision != NO_REVISION else self._read
+            self._scheduler.call_later(pause_s, again)
+            return
+        self._retry.succeeded()
+        self._observer.store_answered(call, self._scheduler.now_s() - self._asked_at_s)
+        if isinstance(answer, HistoryLost):
+            self._revision = NO_REVISION
+            self._read()
+            return
+        self._revision = answer.revision
+        # What the store knew when it was asked is certain; what came later is not.
+        self._view.confirm(self._asked_at_s)
+        if isinstance(answer, ConfigInvalid):
+            self._observer.config_invalid(answer)
+        elif isinstance(answer, ConfigRead) and self._view.apply(answer.config):
+            self._observer.config_applied(self._view, "store")
+        if isinstance(answer, ConfigMissing):
+            self._scheduler.call_later(self._settings.store_retry_s, self._watch)
+        else:
+            self._watch()
+
+
+class DirectoryFollower:
+    """Reads the listing of upstreams at an interval, or sooner when it is asked to."""
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        scheduler: Scheduler,
+        store: StoreReader,
+        directory: UpstreamDirectory,
+        observer: FollowerObserver,
+    ):
+        self._settings = settings
+        self._scheduler = scheduler
+        self._store = store
+        self._directory = directory
+        self._observer = observer
+        self._retry = _Retry(settings.store_retry_s)
+        self._timer = None
+        self._is_asking = False
+        self._asked_at_s = float("-inf")
+
+    def start(self) -> None:
+        self._ask()
+
+    def is_lost(self) -> bool:
+        return self._retry.failures > 0
+
+    def hurry(self) -> None:
+        """Read now, unless a read is under way or has just been made."""
+        since_s = self._scheduler.now_s() - self._asked_at_s
+        if not self._is_asking and since_s >= self._settings.store_retry_s:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._ask()
+
+    def _ask(self) -> None:
+        self._is_asking = True
+        self._asked_at_s = self._scheduler.now_s()
+        self._store.list_upstreams(self._take)
+
+    def _take(self, answer: Listing | StoreFailure) -> None:
+        self._is_asking = False
+        now_s = self._scheduler.now_s()
+        if isinstance(answer, StoreFailure):
+            self._directory.store_lost()
+            pause_s = self._retry.failed()
+            self._observer.store_failed("list_upstreams", answer, self._retry.failures)
+        else:
+            self._retry.succeeded()
+            pause_s = _jittered(self._settings.listing_interval_s)
+            self._observer.store_answered("list_upstreams", now_s - self._asked_at_s)
+            changes = self._directory.apply(answer, now_s)
+            if changes:
+                self._observer.directory_applied(changes, "store")
+        self._timer = self._scheduler.call_later(pause_s, self._ask)
+
+
+def _jittered(pause_s: float) -> float:
+    return pause_s * random.uniform(1.0 - JITTER, 1.0 + JITTER)
--- /dev/null
+++ b/src/wisteriatiller/steering/reporting.py
@@ -0,0 +1,158 @@
+"""Turns what steering and the followers report into log lines and counters."""
+
+from wisteriatiller.ids import UpstreamId
+from wisteriatiller.telemetry import Counters, EventLog
+
+from .directory import Change, DirectoryEntry, UpstreamDirectory
+from .flowtable import Flow
+from .followers import FollowerObserver
+from .packets import Discard, Packet, Refuse, flow_text
+from .ports import ConfigInvalid, StoreFailure
+from .routes import ConfigView, Route
+from .steering import SteeringObserver
+
+# A flow that opens within this time has lost no packet on the way.
+SLOW_OPENING_S = 0.15
+# A follower reports the store as lost after this many failures in a row.
+LOST_FAILURES = 2
+
+
+class Reporter(SteeringObserver, FollowerObserver):
+    """Writes one line for each decision and each changed belief."""
+
+    def __init__(
+        self,
+        log: EventLog,
+        counters: Counters,
+        view: ConfigView,
+        directory: UpstreamDirectory,
+        now_s,
+    ):
+        self._log = log
+        self._counters = counters
+        self._view = view
+        self._directory = directory
+        self._now_s = now_s
+        self._lost_calls: set[str] = set()
+        self.on_unknown_tag = lambda: None
+
+    def flow_opened(
+        self, packet: Packet, route: Route, entry: DirectoryEntry, reason: str
+    ) -> None:
+        self._counters.count("flows_placed", reason)
+        self._log.flow_event(
+            "flow_placed",
+            flow=flow_text(packet.flow),
+            route=route.name,
+            upstream=entry.upstream.upstream_id,
+            zone=entry.upstream.zone,
+            copy=packet.copy,
+            reason=reason,
+            **self._beliefs(),
+        )
+
+    def flow_answered(self, flow: Flow, waited_s: float) -> None:
+        self._counters.observe_ms("flow_opening", 1000.0 * waited_s)
+        if waited_s > SLOW_OPENING_S:
+            self._log.flow_event(
+                "flow_opened_late",
+                flow=flow_text(flow.key),
+                upstream=flow.upstream_id,
+                tried=",".join(flow.tried),
+                waited_ms=round(1000.0 * waited_s),
+            )
+
+    def refused(self, packet: Packet, refusal: Refuse) -> None:
+        self._counters.count("packets_refused", refusal.reason.value)
+        self._drop_line("flow_refused", packet, refusal.reason.value)
+
+    def discarded(self, packet: Packet, discard: Discard) -> None:
+        self._counters.count("packets_discarded", discard.reason.value)
+        self._drop_line("packet_discarded", packet, discard.reason.value)
+
+    def suspected(self, upstream_id: UpstreamId, flows: int) -> None:
+        self._counters.count("upstreams_suspected")
+        self._log.event("upstream_suspected", upstream=upstream_id, flows=flows)
+
+    def trusted(self, upstream_id: UpstreamId) -> None:
+        self._counters.count("upstreams_trusted")
+        self._log.event("upstream_trusted", upstream=upstream_id)
+
+    def tag_unknown(self) -> None:
+        self.on_unknown_tag()
+
+    def config_applied(self, view: ConfigView, source: str) -> None:
+        self._counters.count("config_applied")
+        self._log.event(
+            "config_applied",
+            config_version=view.version,
+            routes=len(view.config.routes),
+            source=source,
+        )
+
+    def config_invalid(self, answer: ConfigInvalid) -> None:
+        self._counters.count("config_invalid")
+        self._log.event(
+            "config_invalid",
+            revision=answer.revision,
+            detail=answer.detail,
+            config_version=self._view.version,
+        )
+
+    def directory_applied(self, changes: list[Change], source: str) -> None:
+        for change in changes:
+            self._counters.count("upstreams_changed", change.presence.value)
+            self._log.event(
+                "upstream_changed",
+                upstream=change.upstream.upstream_id,
+                service=change.upstream.service,
+                address=change.upstream.address,
+                zone=change.upstream.zone,
+                presence=change.presence.value,
+                state=change.upstream.state.value,
+                warmup_left_ms=change.upstream.warmup_left_ms,
+                revision=self._directory.revision,
+                source=source,
+            )
+
+    def store_failed(self, call: str, failure: StoreFailure, failures: int) -> None:
+        self._counters.count("store_failures", failure.reason.value)
+        if failures == LOST_FAILURES:
+            self._lost_calls.add(call)
+            self._log.event(
+                "store_lost",
+                call=call,
+                reason=failure.reason.value,
+                detail=failure.detail,
+                **self._beliefs(),
+            )
+
+    def store_answered(self, call: str, waited_s: float) -> None:
+        self._counters.observe_ms(f"store_{call}", 1000.0 * waited_s)
+        if call in self._lost_calls:
+            self._lost_calls.discard(call)
+            self._log.event("store_regained", call=call, **self._beliefs())
+
+    def _drop_line(self, event: str, packet: Packet, reason: str) -> None:
+        self._log.flow_event(
+            event,
+            flow=flow_text(packet.flow),
+            reason=reason,
+            kind=packet.kind.value,
+            tag=packet.tag,
+            **self._beliefs(),
+        )
+
+    def _beliefs(self) -> dict[str, object]:
+        """What decisions rest on, with its version and age."""
+        now_s = self._now_s()
+        return {
+            "config_version": self._view.version,
+            "config_age_ms": _milliseconds(self._view.age_s(now_s)),
+            "directory_revision": self._directory.revision,
+            "directory_age_ms": _milliseconds(self._directory.age_s(now_s)),
+        }
+
+
+def _milliseconds(age_s: float | None) -> int | str:
+    return "never" if age_s is None else round(1000.0 * age_s)
--- /dev/null
+++ b/src/wisteriatiller/steering/routes.py
@@ -0,0 +1,78 @@
+"""Routes, and the view of the configuration that only goes forward."""
+
+from typing import NamedTuple, NewType
+
+from wisteriatiller.ids import FlowKey, ServiceId
+from wisteriatiller.placement import PlacementTable
+
+from .packets import ServiceAddress
+
+ConfigVersion = NewType("ConfigVersion", int)
+
+NO_VERSION = ConfigVersion(0)
+
+
+class WeightedService(NamedTuple):
+    service: ServiceId
+    weight: float
+
+
+class Route(NamedTuple):
+    """Where new flows of one service address may go."""
+
+    name: str
+    service_address: ServiceAddress
+    services: tuple[WeightedService, ...]
+
+
+class RouteConfig(NamedTuple):
+    """One version of the operators' configuration, as far as flows need it."""
+
+    version: ConfigVersion
+    routes: tuple[Route, ...]
+    idle_timeout_ms: int
+
+
+class ConfigView:
+    """The newest configuration that this process has seen.
+
+    ``apply`` returns False for a version that is not newer, so that a late or stale
+    read never takes a change back.
+    """
+
+    def __init__(self):
+        self.version = NO_VERSION
+        self.config: RouteConfig | None = None
+        self.confirmed_at_s: float | None = None
+        self._routes: dict[ServiceAddress, Route] = {}
+        self._splits: dict[ServiceAddress, PlacementTable] = {}
+
+    def apply(self, config: RouteConfig) -> bool:
+        if config.version <= self.version:
+            return False
+        self.version = config.version
+        self.config = config
+        self._routes = {route.service_address: route for route in config.routes}
+        self._splits.clear()
+        return True
+
+    def confirm(self, now_s: float) -> None:
+        """Note that the store has shown nothing newer at ``now_s``."""
+        self.confirmed_at_s = now_s
+
+    def age_s(self, now_s: float) -> float | None:
+        """Seconds since the store last confirmed the view; None if it never did."""
+        return None if self.confirmed_at_s is None else now_s - self.confirmed_at_s
+
+    def route(self, service_address: ServiceAddress) -> Route | None:
+        return self._routes.get(service_address)
+
+    def services(self, route: Route, flow: FlowKey) -> list[ServiceId]:
+        """The services that a flow of the route may use, the flow's own first."""
+        if len(route.services) == 1:
+            return [route.services[0].service]
+        split = self._splits.get(route.service_address)
+        if split is None:
+            split = PlacementTable(route.services)
+            self._splits[route.service_address] = split
+        return split.ranked(flow)
--- /dev/null
+++ b/src/wisteriatiller/steering/settings.py
@@ -0,0 +1,35 @@
+"""Settings of a host that steers flows."""
+
+from typing import NamedTuple
+
+from wisteriatiller.ids import Address, HostId, ZoneId
+
+
+class SteeringSettings(NamedTuple):
+    """What a host is told at its start, and the limits it keeps.
+
+    ``return_port`` is the port at which clients take packets. ``seeds`` are control
+    addresses of hosts that may be stale. Of new flows, an upstream in another zone
+    takes ``remote_weight`` of what a local one takes. A view of the configuration is
+    good for a refusal until it is ``config_trusted_s`` old.
+    """
+
+    host_id: HostId
+    zone: ZoneId
+    data_listen: Address
+    ready_listen: Address
+    control_listen: Address | None
+    metrics_listen: Address
+    return_port: int
+    store: Address
+    seeds: tuple[Address, ...]
+    stop_timeout_s: float
+    max_value_bytes: int
+    flow_idle_s: float = 60.0
+    remote_weight: float = 0.125
+    config_trusted_s: float = 7.0
+    listing_interval_s: float = 1.0
+    watch_wait_s: float = 3.0
+    store_timeout_s: float = 1.0
+    store_retry_s: float = 0.25
+    peer_timeout_s: float = 0.6
--- /dev/null
+++ b/src/wisteriatiller/steering/status.py
@@ -0,0 +1,50 @@
+"""What a host believes, as its status page shows it."""
+
+from typing import TYPE_CHECKING
+
+from .directory import DirectoryEntry
+from .steering import FlowSteering
+
+if TYPE_CHECKING:
+    from .host import SteeringHost
+
+
+def steering_status(host: "SteeringHost", now_s: float) -> dict:
+    """Configuration, upstreams and peers of a host, with ages in seconds."""
+    return {
+        "host_id": host.settings.host_id,
+        "zone": host.settings.zone,
+        "readiness": host.readiness.value,
+        "config": {
+            "version": host.config.version,
+            "age_s": host.config.age_s(now_s),
+            "routes": 0
+            if host.config.config is None
+            else len(host.config.config.routes),
+        },
+        "directory": {
+            "revision": host.directory.revision,
+            "age_s": host.directory.age_s(now_s),
+            "steady_s": host.directory.steady_s(now_s),
+        },
+        "flows": len(host.steering.flows),
+        "upstreams": [
+            _upstream_status(entry, host.steering) for entry in host.directory.entries()
+        ],
+        "peers": [str(peer) for peer in host.peers.peers],
+    }
+
+
+def _upstream_status(entry: DirectoryEntry, steering: FlowSteering) -> dict:
+    upstream = entry.upstream
+    return {
+        "upstream_id": upstream.upstream_id,
+        "service": upstream.service,
+        "address": str(upstream.address),
+        "zone": upstream.zone,
+        "slots": upstream.slots,
+        "state": upstream.state.value,
+        "presence": entry.presence.value,
+        "verdict": steering.evidence.of(upstream.upstream_id).verdict.value,
+        "open_flows": steering.flows.open_flows(upstream.upstream_id),
+    }
--- /dev/null
+++ b/src/wisteriatiller/steering/steering.py
@@ -0,0 +1,222 @@
+"""The decision about each packet of a client.
+
+A packet with a tag goes to the tag's upstream, whatever else this host knows. An
+opening packet goes to the upstream that the chooser names; its copies, which show
+that no answer came, go to others.
+"""
+
+from abc import ABC, abstractmethod
+
+from wisteriatiller.ids import UpstreamId
+
+from .choice import UpstreamChooser
+from .directory import Change, DirectoryEntry, Presence, UpstreamDirectory
+from .evidence import Evidence
+from .flowtable import Flow, FlowState, FlowTable, is_after
+from .packets import (
+    Decision,
+    Discard,
+    DiscardReason,
+    Forward,
+    Packet,
+    PacketKind,
+    RefusalReason,
+    Refuse,
+)
+from .routes import ConfigView, Route
+from .settings import SteeringSettings
+from .upstreams import NO_TAG
+
+# Clients repeat after 200 ms; packets that change places on the way are closer.
+MIN_REPEAT_S = 0.15
+
+
+class SteeringObserver(ABC):
+    """Learns what steering decides and believes, for logs and counters."""
+
+    @abstractmethod
+    def flow_opened(
+        self, packet: Packet, route: Route, entry: DirectoryEntry, reason: str
+    ) -> None: ...
+
+    @abstractmethod
+    def flow_answered(self, flow: Flow, waited_s: float) -> None: ...
+
+    @abstractmethod
+    def refused(self, packet: Packet, refusal: Refuse) -> None: ...
+
+    @abstractmethod
+    def discarded(self, packet: Packet, discard: Discard) -> None: ...
+
+    @abstractmethod
+    def suspected(self, upstream_id: UpstreamId, flows: int) -> None: ...
+
+    @abstractmethod
+    def trusted(self, upstream_id: UpstreamId) -> None: ...
+
+    @abstractmethod
+    def tag_unknown(self) -> None:
+        """A tag names no known upstream; a newer listing may have it."""
+
+
+class FlowSteering:
+    """Decides about packets from the directory, the configuration and evidence."""
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        directory: UpstreamDirectory,
+        config: ConfigView,
+        observer: SteeringObserver,
+    ):
+        self._settings = settings
+        self._directory = directory
+        self._config = config
+        self._observer = observer
+        self.evidence = Evidence()
+        self.flows = FlowTable(settings.flow_idle_s)
+        self._chooser = UpstreamChooser(
+            settings.zone, settings.remote_weight, self.flows, self.evidence
+        )
+
+    def steer(self, packet: Packet, now_s: float) -> Decision:
+        """Decide about one packet."""
+        if packet.kind is PacketKind.OPENING:
+            decision = self._open(packet, now_s)
+        elif packet.kind is PacketKind.UPSTREAM_ONLY:
+            decision = Discard(DiscardReason.FORGED)
+        else:
+            decision = self._continue(packet, now_s)
+        if isinstance(decision, Refuse):
+            self._observer.refused(packet, decision)
+        elif isinstance(decision, Discard):
+            self._observer.discarded(packet, decision)
+        return decision
+
+    def directory_changed(self, changes: list[Change]) -> None:
+        """Drop the evidence about upstreams that are gone."""
+        for change in changes:
+            if change.presence is Presence.GONE:
+                self.evidence.forget(change.upstream.upstream_id)
+
+    def _open(self, packet: Packet, now_s: float) -> Decision:
+        route = self._config.route(packet.service_address)
+        if route is None:
+            return self._without_route(now_s)
+        flow = self.flows.get(packet.flow, now_s)
+        if flow is not None and not self._is_copy(flow, packet):
+            flow = None
+        if flow is not None and flow.state is not FlowState.OPENING:
+            return self._repeat_opening(flow)
+        if flow is not None:
+            self._complain(flow, flow.sent_at_s, now_s)
+        return self._place(packet, route, flow, now_s)
+
+    def _is_copy(self, flow: Flow, packet: Packet) -> bool:
+        """Whether an opening packet belongs to a known flow, not to a new one."""
+        return packet.copy > 0 or flow.sequence == packet.sequence
+
+    def _repeat_opening(self, flow: Flow) -> Decision:
+        """A copy that comes late, after the flow has opened."""
+        entry = self._directory.get(flow.upstream_id)
+        if entry is None:
+            return Discard(DiscardReason.NO_STATE)
+        return Forward(entry.upstream, entry.tag)
+
+    def _place(
+        self, packet: Packet, route: Route, flow: Flow | None, now_s: float
+    ) -> Decision:
+        tried = () if flow is None else (*flow.tried, flow.upstream_id)
+        choice = None
+        for service in self._config.services(route, packet.flow):
+            entries = self._directory.of_service(service)
+            choice = self._chooser.choose(entries, packet.flow, tried, now_s)
+            if choice is not None:
+                break
+        if choice is None:
+            return Refuse(RefusalReason.NO_UPSTREAM)
+        upstream_id = choice.entry.upstream.upstream_id
+        if flow is None:
+            flow = self.flows.add(packet.flow, upstream_id, now_s)
+        else:
+            self.flows.move(flow, upstream_id)
+            flow.tried = tried
+        flow.sequence = packet.sequence
+        flow.sent_at_s = now_s
+        reason = "trial" if choice.is_trial else "copy" if packet.copy else "first"
+        self._observer.flow_opened(packet, route, choice.entry, reason)
+        return Forward(choice.entry.upstream, choice.entry.tag)
+
+    def _without_route(self, now_s: float) -> Decision:
+        age_s = self._config.age_s(now_s)
+        if age_s is None or age_s > self._settings.config_trusted_s:
+            return Discard(DiscardReason.ROUTE_UNCERTAIN)
+        return Refuse(RefusalReason.NO_ROUTE)
+
+    def _continue(self, packet: Packet, now_s: float) -> Decision:
+        if packet.tag == NO_TAG:
+            return Discard(DiscardReason.UNTAGGED)
+        entry = self._directory.by_tag(packet.tag)
+        if entry is None:
+            self._observer.tag_unknown()
+            return Discard(DiscardReason.UNKNOWN_TAG)
+        if entry.presence is Presence.GONE:
+            self.flows.remove(packet.flow)
+            if packet.kind is PacketKind.ABORTING:
+                return Discard(DiscardReason.NO_STATE)
+            return Refuse(RefusalReason.UPSTREAM_GONE)
+        self._note(packet, entry, now_s)
+        return Forward(entry.upstream, packet.tag)
+
+    def _note(self, packet: Packet, entry: DirectoryEntry, now_s: float) -> None:
+        """Take what a packet of an open flow says about the flow and its upstream."""
+        upstream_id = entry.upstream.upstream_id
+        flow = self.flows.get(packet.flow, now_s)
+        if flow is None:
+            if packet.kind is not PacketKind.ESTABLISHED:
+                return
+            flow = self.flows.add(packet.flow, upstream_id, now_s)
+            flow.state = FlowState.OPEN
+            self._take_numbers(flow, packet, now_s)
+        elif flow.state is FlowState.OPENING:
+            self.flows.move(flow, upstream_id)
+            flow.state = FlowState.OPEN
+            self._observer.flow_answered(flow, now_s - flow.opened_at_s)
+            self._take_numbers(flow, packet, now_s)
+            self._progress(flow, now_s)
+        else:
+            self.flows.move(flow, upstream_id)
+            self._compare(flow, packet, now_s)
+        if packet.kind is PacketKind.ABORTING:
+            self.flows.remove(packet.flow)
+        elif packet.kind is PacketKind.CLOSING:
+            self.flows.close(flow)
+
+    def _compare(self, flow: Flow, packet: Packet, now_s: float) -> None:
+        if is_after(packet.acknowledged, flow.acknowledged):
+            self._take_numbers(flow, packet, now_s)
+            self._progress(flow, now_s)
+            return
+        if not packet.payload_bytes:
+            return
+        if is_after(packet.sequence, flow.sequence):
+            flow.sequence = packet.sequence
+            flow.sent_at_s = now_s
+        elif now_s - flow.sent_at_s >= MIN_REPEAT_S:
+            flow.repeats += 1
+            self._complain(flow, flow.sent_at_s, now_s)
+
+    def _take_numbers(self, flow: Flow, packet: Packet, now_s: float) -> None:
+        flow.acknowledged = packet.acknowledged
+        flow.sequence = packet.sequence
+        flow.sent_at_s = now_s
+        flow.repeats = 0
+
+    def _progress(self, flow: Flow, now_s: float) -> None:
+        if self.evidence.of(flow.upstream_id).progress(now_s):
+            self._observer.trusted(flow.upstream_id)
+
+    def _complain(self, flow: Flow, sent_at_s: float, now_s: float) -> None:
+        evidence = self.evidence.of(flow.upstream_id)
+        if evidence.complaint(flow.key, sent_at_s, now_s):
+            self._observer.suspected(flow.upstream_id, evidence.complaining_flows())
--- /dev/null
+++ b/src/wisteriatiller/telemetry/__init__.py
@@ -0,0 +1,6 @@
+"""Logs and counters of the flow path."""
+
+from .counters import Counters, Histogram
+from .eventlog import EventLog, StreamLog
+
+__all__ = ["Counters", "EventLog", "Histogram", "StreamLog"]
