Share reads of the store among the hosts of a zone

The first host of a zone now reads for the others, which ask it each 0.6 s and read for themselves once it is not fresh. Packets that arrive before the first configuration wait in the socket.

--- a/src/wisteriatiller/network/httpserver.py
+++ b/src/wisteriatiller/network/httpserver.py
@@ -11,11 +11,11 @@
 from .loop import EventLoop, Timer
 
 MAX_REQUEST_BYTES = 16_384
-MAX_CONNECTIONS = 64
+MAX_CONNECTIONS = 512
 IDLE_TIMEOUT_S = 30.0
 BACKLOG = 64
 
-_REASONS = {200: "OK", 404: "Not Found", 405: "Method Not Allowed"}
+_REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed"}
 
 
 class Page(NamedTuple):
--- a/src/wisteriatiller/steering/datapath.py
+++ b/src/wisteriatiller/steering/datapath.py
@@ -38,9 +38,15 @@
         )
         self._socket.bind(listen)
         self.address = Address(*self._socket.getsockname())
-        loop.watch(self._socket, self._read)
+        self._is_open = True
+
+    def start(self) -> None:
+        """Begin to read; what came before waits in the socket's buffer."""
+        if self._is_open:
+            self._loop.watch(self._socket, self._read)
 
     def close(self) -> None:
+        self._is_open = False
         self._loop.watch(self._socket, None)
         self._socket.close()
 
--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -97,6 +97,10 @@
             self._index()
         return changes
 
+    def confirm(self, now_s: float, steady_s: float, age_s: float) -> list[Change]:
+        """Note that the last listing still holds; what is missing may now be gone."""
+        return self.apply(self.listing, now_s, steady_s, age_s) or []
+
     def store_lost(self) -> None:
         """Note that the store failed, so entries may lapse without a reason."""
         self._steady_since_s = None
--- a/src/wisteriatiller/steering/followers.py
+++ b/src/wisteriatiller/steering/followers.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 
 from wisteriatiller.ids import NO_REVISION, Revision
-from wisteriatiller.network.loop import Scheduler
+from wisteriatiller.network.loop import Scheduler, Timer
 
 from .directory import Change, UpstreamDirectory
 from .ports import (
@@ -80,13 +80,34 @@
         self._revision: Revision = NO_REVISION
         self._retry = _Retry(settings.store_retry_s)
         self._asked_at_s = 0.0
+        self._is_active = False
+        self._is_asking = False
+
+    def resume(self) -> None:
+        """Read now, then watch, until ``pause`` is called."""
+        if not self._is_active:
+            self._is_active = True
+            self._revision = NO_REVISION
+            if not self._is_asking:
+                self._ask()
 
-    def start(self) -> None:
-        self._read()
+    def pause(self) -> None:
+        """Ask no more; a watch that is waiting may still be answered."""
+        self._is_active = False
+        self._retry.succeeded()
 
     def is_lost(self) -> bool:
         return self._retry.failures > 0
 
+    def _ask(self) -> None:
+        if not self._is_active or self._is_asking:
+            return
+        self._is_asking = True
+        if self._revision == NO_REVISION:
+            self._read()
+        else:
+            self._watch()
+
     def _read(self) -> None:
         self._asked_at_s = self._scheduler.now_s()
         self._store.read_config(lambda answer: self._take("read_config", answer))
@@ -100,17 +121,26 @@
         )
 
     def _take(self, call: str, answer: ConfigAnswer) -> None:
+        self._is_asking = False
+        pause_s = 0.0
         if isinstance(answer, StoreFailure):
             pause_s = self._retry.failed()
             self._observer.store_failed(call, answer, self._retry.failures)
-            again = self._watch if self._revision != NO_REVISION else self._read
-            self._scheduler.call_later(pause_s, again)
-            return
-        self._retry.succeeded()
-        self._observer.store_answered(call, self._scheduler.now_s() - self._asked_at_s)
+        else:
+            self._retry.succeeded()
+            waited_s = self._scheduler.now_s() - self._asked_at_s
+            self._observer.store_answered(call, waited_s)
+            self._learn(answer)
+            if isinstance(answer, ConfigMissing):
+                pause_s = self._settings.store_retry_s
+        if pause_s:
+            self._scheduler.call_later(pause_s, self._ask)
+        else:
+            self._ask()
+
+    def _learn(self, answer: ConfigAnswer) -> None:
         if isinstance(answer, HistoryLost):
             self._revision = NO_REVISION
-            self._read()
             return
         self._revision = answer.revision
         # What the store knew when it was asked is certain; what came later is not.
@@ -119,10 +149,6 @@
             self._observer.config_invalid(answer)
         elif isinstance(answer, ConfigRead) and self._view.apply(answer.config):
             self._observer.config_applied(self._view, "store")
-        if isinstance(answer, ConfigMissing):
-            self._scheduler.call_later(self._settings.store_retry_s, self._watch)
-        else:
-            self._watch()
 
 
 class DirectoryFollower:
@@ -142,12 +168,24 @@
         self._directory = directory
         self._observer = observer
         self._retry = _Retry(settings.store_retry_s)
-        self._timer = None
+        self._timer: Timer | None = None
+        self._is_active = False
         self._is_asking = False
         self._asked_at_s = float("-inf")
 
-    def start(self) -> None:
-        self._ask()
+    def resume(self) -> None:
+        """Read now and then at the interval, until ``pause`` is called."""
+        if not self._is_active:
+            self._is_active = True
+            if not self._is_asking:
+                self._ask()
+
+    def pause(self) -> None:
+        """Read no more, unless ``hurry`` asks for it."""
+        self._is_active = False
+        self._retry.succeeded()
+        if self._timer is not None:
+            self._timer.cancel()
 
     def is_lost(self) -> bool:
         return self._retry.failures > 0
@@ -179,7 +217,8 @@
             changes = self._directory.apply(answer, now_s)
             if changes:
                 self._observer.directory_applied(changes, "store")
-        self._timer = self._scheduler.call_later(pause_s, self._ask)
+        if self._is_active:
+            self._timer = self._scheduler.call_later(pause_s, self._ask)
 
 
 def _jittered(pause_s: float) -> float:
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -18,19 +18,21 @@
 from wisteriatiller.telemetry import Counters, EventLog
 
 from .datapath import DataPath
-from .directory import Change, UpstreamDirectory
-from .followers import ConfigFollower, DirectoryFollower
-from .peers import PeerLink, PeerSync
+from .directory import UpstreamDirectory
+from .followers import ConfigFollower, DirectoryFollower, FollowerObserver
+from .peers import UNKNOWN_ZONE, Peer, PeerLink, PeerRegistry
 from .ports import PacketCodec, StoreReader
 from .reporting import Reporter
 from .routes import ConfigView
 from .settings import SteeringSettings
+from .sharing import ReadSharing, SharedState
 from .snapshots import (
     MAX_SNAPSHOT_BYTES,
     Snapshot,
+    decode_request,
     decode_snapshot,
+    encode_request,
     encode_snapshot,
-    take_snapshot,
 )
 from .status import steering_status
 from .steering import FlowSteering
@@ -40,6 +42,8 @@
 STATUS_PATH = "/status"
 METRICS_PATH = "/metrics"
 EXPIRY_INTERVAL_S = 1.0
+# Packets that wait longer for a first configuration are repeated anyway.
+MAX_HOLD_S = 0.4
 
 
 class Readiness(Enum):
@@ -51,38 +55,70 @@
 class HttpPeerLink(PeerLink):
     """Fetches snapshots from the control addresses of other hosts."""
 
-    def __init__(self, loop: EventLoop, settings: SteeringSettings):
+    def __init__(self, loop: EventLoop, settings: SteeringSettings, log: EventLog):
         self._loop = loop
         self._settings = settings
+        self._log = log
+        self._connections: dict[Address, HttpConnection] = {}
+
+    def ask(self, peer, request, done):
+        connection = self._connections.get(peer)
+        if connection is None:
+            connection = HttpConnection(self._loop, peer, MAX_SNAPSHOT_BYTES)
+            self._connections[peer] = connection
+        target = f"{SNAPSHOT_PATH}?{encode_request(request)}"
+        connection.request(
+            HttpRequest("GET", target, self._settings.peer_timeout_s),
+            lambda result: done(self._decode(peer, result)),
+        )
 
-    def ask(self, peer, done):
-        connection = HttpConnection(self._loop, peer, MAX_SNAPSHOT_BYTES)
-        target = f"{SNAPSHOT_PATH}?{self._settings.control_listen}"
-        request = HttpRequest("GET", target, self._settings.peer_timeout_s)
-
-        def finish(result: HttpResult) -> None:
-            connection.close()
-            done(self._decode(result))
-
-        connection.request(request, finish)
-
-    def _decode(self, result: HttpResult) -> Snapshot | None:
+    def _decode(self, peer: Address, result: HttpResult) -> Snapshot | None:
         if not isinstance(result, HttpResponse) or result.status != 200:
+            self._drop(peer)
             return None
+        self._keep_newest(peer)
         try:
             return decode_snapshot(result.body)
-        except MessageError:
+        except MessageError as error:
+            self._log.event("snapshot_unreadable", peer=peer, detail=error)
             return None
 
+    def _keep_newest(self, peer: Address) -> None:
+        """Keep the connection to the last host that answered, and close others."""
+        for other in [other for other in self._connections if other != peer]:
+            self._drop(other)
+
+    def _drop(self, peer: Address) -> None:
+        self._connections.pop(peer).close()
+
+
+class _BeliefObserver(FollowerObserver):
+    """Passes new knowledge on to steering, then to the reporter."""
 
-class _DirectoryReporter(Reporter):
-    """Passes changes of the directory on to steering as well."""
+    def __init__(
+        self, reporter: Reporter, steering: FlowSteering, learned: Callable[[], None]
+    ):
+        self._reporter = reporter
+        self._steering = steering
+        self._learned = learned
+
+    def config_applied(self, view, source):
+        self._reporter.config_applied(view, source)
+        self._learned()
+
+    def directory_applied(self, changes, source):
+        self._steering.directory_changed(changes)
+        self._reporter.directory_applied(changes, source)
+        self._learned()
 
-    steering: FlowSteering
+    def config_invalid(self, answer):
+        self._reporter.config_invalid(answer)
 
-    def directory_applied(self, changes: list[Change], source: str) -> None:
-        self.steering.directory_changed(changes)
-        super().directory_applied(changes, source)
+    def store_failed(self, call, failure, failures):
+        self._reporter.store_failed(call, failure, failures)
+
+    def store_answered(self, call, waited_s):
+        self._reporter.store_answered(call, waited_s)
 
 
 class SteeringHost:
@@ -104,26 +140,27 @@
         self.readiness = Readiness.STARTING
         self.directory = UpstreamDirectory()
         self.config = ConfigView()
-        reporter = _DirectoryReporter(
+        reporter = Reporter(
             log, self._counters, self.config, self.directory, loop.now_s
         )
         self.steering = FlowSteering(settings, self.directory, self.config, reporter)
-        reporter.steering = self.steering
-        self._config_follower = ConfigFollower(
-            settings, loop, store, self.config, reporter
-        )
-        self._directory_follower = DirectoryFollower(
-            settings, loop, store, self.directory, reporter
+        observer = _BeliefObserver(reporter, self.steering, self._learned)
+        config_follower = ConfigFollower(settings, loop, store, self.config, observer)
+        directory_follower = DirectoryFollower(
+            settings, loop, store, self.directory, observer
         )
-        reporter.on_unknown_tag = self._directory_follower.hurry
-        self.peers = PeerSync(
+        reporter.on_unknown_tag = directory_follower.hurry
+        own = Peer(settings.control_listen or settings.ready_listen, settings.zone)
+        self.registry = PeerRegistry(own)
+        self._shared = SharedState(self.config, self.directory, self.registry)
+        self.sharing = ReadSharing(
             settings,
             loop,
-            HttpPeerLink(loop, settings),
-            self.config,
-            self.directory,
-            reporter,
-            self._needs_help,
+            HttpPeerLink(loop, settings, log),
+            self._shared,
+            (config_follower, directory_follower),
+            observer,
+            reporter.source_changed,
         )
         self.data_path = DataPath(
             loop, settings.data_listen, codec, self.steering, self._counters
@@ -139,11 +176,10 @@
             store=self.settings.store,
             seeds=len(self.settings.seeds),
         )
-        self._config_follower.start()
-        self._directory_follower.start()
-        if self.settings.control_listen is not None:
-            self.peers.start()
+        self._add_seeds(self.settings)
+        self.sharing.start()
         self._expire()
+        self._loop.call_later(MAX_HOLD_S, self.data_path.start)
 
     def stop(self, done: Callable[[], None]) -> None:
         """Leave the rotation, go on steering until routers have moved, then end."""
@@ -165,7 +201,7 @@
             if getattr(settings, name) != getattr(self.settings, name)
         ]
         self._log.event("settings_reloaded", changed=",".join(changed) or "nothing")
-        self.peers.add_peers(settings.seeds)
+        self._add_seeds(settings)
         if settings.store != self.settings.store:
             self._store.move_to(settings.store)
         self.settings = settings
@@ -177,12 +213,13 @@
             server.close()
         done()
 
-    def _needs_help(self) -> bool:
-        return (
-            self._config_follower.is_lost()
-            or self._directory_follower.is_lost()
-            or not self._knows_enough()
-        )
+    def _learned(self) -> None:
+        if self._knows_enough():
+            self.data_path.start()
+
+    def _add_seeds(self, settings: SteeringSettings) -> None:
+        seeds = (Peer(address, UNKNOWN_ZONE) for address in settings.seeds)
+        self.registry.add_all(seeds, self._loop.now_s())
 
     def _knows_enough(self) -> bool:
         return self.config.config is not None and self.directory.listing is not None
@@ -224,11 +261,11 @@
 
     def _snapshot_page(self, query: str) -> Page:
         try:
-            self.peers.add_peers((Address.parse(query),))
-        except ValueError:
-            self._counters.count("snapshots_without_sender")
-        snapshot = take_snapshot(
-            self.config, self.directory, self.peers.peers, self._loop.now_s()
+            request = decode_request(query)
+        except MessageError as error:
+            return Page(400, str(error).encode())
+        snapshot = self._shared.snapshot(
+            request, self.sharing.is_reading(), self._loop.now_s()
         )
         self._counters.count("snapshots_given")
         return Page(200, encode_snapshot(snapshot), "application/msgpack")
--- a/src/wisteriatiller/steering/peers.py
+++ b/src/wisteriatiller/steering/peers.py
@@ -1,114 +1,115 @@
-"""Asks other hosts for a snapshot while the store does not answer this one."""
+"""The other hosts that a host knows, and what it asks them."""
 
-import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
-from wisteriatiller.ids import Address
-from wisteriatiller.network.loop import Scheduler
+from wisteriatiller.ids import Address, ZoneId
 
-from .directory import UpstreamDirectory
-from .followers import FollowerObserver
-from .routes import ConfigView
-from .settings import SteeringSettings
-from .snapshots import Snapshot
+from .snapshots import Snapshot, SnapshotRequest
 
-MAX_PEERS = 64
-CHECK_INTERVAL_S = 0.5
-# A snapshot that is older says nothing that a host could still act on.
-MAX_SNAPSHOT_AGE_S = 30.0
+# Hosts of the own zone share reads; of the others a few are enough to ask for help.
+MAX_ZONE_PEERS = 512
+MAX_OTHER_PEERS = 16
+# A host that did not answer, or had nothing fresh, is left alone for this long.
+AVOIDED_S = 3.0
+# A host that nobody has heard of for this long is forgotten.
+FORGOTTEN_S = 60.0
+
+UNKNOWN_ZONE = ZoneId("")
+
+
+class Peer(NamedTuple):
+    """A host by its control address."""
+
+    address: Address
+    zone: ZoneId
 
 
 class PeerLink(ABC):
-    """Fetches the snapshot of one host."""
+    """Fetches the snapshots of hosts."""
 
     @abstractmethod
-    def ask(self, peer: Address, done: Callable[[Snapshot | None], None]) -> None:
+    def ask(
+        self,
+        peer: Address,
+        request: SnapshotRequest,
+        done: Callable[[Snapshot | None], None],
+    ) -> None:
         """Call back with the snapshot, or with None if the host gives none."""
 
 
-class PeerSync:
-    """Knows other hosts by their control addresses and asks them in turn.
+class PeerRegistry:
+    """Hosts in the order in which they read the store for their zone.
 
-    A host asks once at its start, so that its peers learn of it, and then whenever
-    ``needs_help`` says that the store is out of reach.
+    Each host computes the same order from the addresses alone, so a zone needs no
+    election: the first host that answers with fresh state reads for the others.
     """
 
-    def __init__(
-        self,
-        settings: SteeringSettings,
-        scheduler: Scheduler,
-        link: PeerLink,
-        view: ConfigView,
-        directory: UpstreamDirectory,
-        observer: FollowerObserver,
-        needs_help: Callable[[], bool],
-    ):
-        self._settings = settings
-        self._scheduler = scheduler
-        self._link = link
-        self._view = view
-        self._directory = directory
-        self._observer = observer
-        self._needs_help = needs_help
-        self._peers: dict[Address, None] = {}
-        self._has_introduced = False
-        self._is_asking = False
-        self.add_peers(settings.seeds)
-
-    @property
-    def peers(self) -> tuple[Address, ...]:
-        return tuple(self._peers)
-
-    def add_peers(self, peers: tuple[Address, ...]) -> None:
-        """Note hosts, the newest last; the oldest make room for them."""
-        for peer in peers:
-            if peer != self._settings.control_listen:
-                self._peers.pop(peer, None)
-                self._peers[peer] = None
-        while len(self._peers) > MAX_PEERS:
-            del self._peers[next(iter(self._peers))]
-
-    def start(self) -> None:
-        self._check()
-
-    def _check(self) -> None:
-        self._scheduler.call_later(CHECK_INTERVAL_S, self._check)
-        is_due = self._needs_help() or not self._has_introduced
-        if self._peers and is_due and not self._is_asking:
-            self._ask(random.choice(self.peers))
-
-    def _ask(self, peer: Address) -> None:
-        self._is_asking = True
-        self._link.ask(peer, lambda snapshot: self._take(peer, snapshot))
-
-    def _take(self, peer: Address, snapshot: Snapshot | None) -> None:
-        self._is_asking = False
-        if snapshot is None:
-            return
-        self._has_introduced = True
-        self.add_peers(snapshot.peers)
-        now_s = self._scheduler.now_s()
-        source = f"peer {peer}"
-        self._take_config(snapshot, source, now_s)
-        self._take_listing(snapshot, source, now_s)
-
-    def _take_config(self, snapshot: Snapshot, source: str, now_s: float) -> None:
-        if snapshot.config is None or snapshot.config_age_s > MAX_SNAPSHOT_AGE_S:
-            return
-        if snapshot.config.version < self._view.version:
+    def __init__(self, own: Peer):
+        self.own = own
+        self._heard_at_s: dict[Peer, float] = {}
+        self._avoided_until_s: dict[Address, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._heard_at_s)
+
+    def add(self, peer: Peer, now_s: float) -> None:
+        if peer.address == self.own.address:
             return
-        confirmed_at_s = now_s - snapshot.config_age_s
-        if confirmed_at_s > (self._view.confirmed_at_s or float("-inf")):
-            self._view.confirm(confirmed_at_s)
-        if self._view.apply(snapshot.config):
-            self._observer.config_applied(self._view, source)
-
-    def _take_listing(self, snapshot: Snapshot, source: str, now_s: float) -> None:
-        if snapshot.listing is None or snapshot.listing_age_s > MAX_SNAPSHOT_AGE_S:
+        if peer.zone != UNKNOWN_ZONE:
+            self._heard_at_s.pop(Peer(peer.address, UNKNOWN_ZONE), None)
+        elif any(known.address == peer.address for known in self._heard_at_s):
             return
-        changes = self._directory.apply(
-            snapshot.listing, now_s, snapshot.steady_s, snapshot.listing_age_s
+        self._heard_at_s.pop(peer, None)
+        self._heard_at_s[peer] = now_s
+        self._limit(peer.zone == self.own.zone)
+
+    def add_all(self, peers: Iterable[Peer], now_s: float) -> None:
+        """Note hosts that another host names; they may be gone already."""
+        for peer in peers:
+            if peer not in self._heard_at_s:
+                self.add(peer, now_s)
+
+    def avoid(self, address: Address, now_s: float) -> None:
+        """Note that a host has nothing to give for the moment."""
+        self._avoided_until_s[address] = now_s + AVOIDED_S
+
+    def known(self) -> tuple[Peer, ...]:
+        return tuple(self._heard_at_s)
+
+    def readers(self, now_s: float) -> list[Peer]:
+        """The hosts of the own zone that come before this one and may be asked."""
+        self._forget(now_s)
+        zone_peers = (peer for peer in self._heard_at_s if peer.zone == self.own.zone)
+        return sorted(
+            peer
+            for peer in zone_peers
+            if peer.address < self.own.address and self._may_ask(peer.address, now_s)
         )
-        if changes:
-            self._observer.directory_applied(changes, source)
+
+    def helpers(self, now_s: float) -> list[Peer]:
+        """All hosts that may be asked while the store is away."""
+        return [peer for peer in self._heard_at_s if self._may_ask(peer.address, now_s)]
+
+    def _may_ask(self, address: Address, now_s: float) -> bool:
+        return self._avoided_until_s.get(address, 0.0) <= now_s
+
+    def _forget(self, now_s: float) -> None:
+        old = [
+            peer
+            for peer, heard_at_s in self._heard_at_s.items()
+            if now_s - heard_at_s > FORGOTTEN_S and peer.zone != UNKNOWN_ZONE
+        ]
+        for peer in old:
+            del self._heard_at_s[peer]
+
+    def _limit(self, is_own_zone: bool) -> None:
+        limit = MAX_ZONE_PEERS if is_own_zone else MAX_OTHER_PEERS
+        group = [
+            peer
+            for peer in self._heard_at_s
+            if (peer.zone == self.own.zone) == is_own_zone
+        ]
+        for peer in group[: max(0, len(group) - limit)]:
+            del self._heard_at_s[peer]
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -9,6 +9,7 @@
 from .packets import Discard, Packet, Refuse, flow_text
 from .ports import ConfigInvalid, StoreFailure
 from .routes import ConfigView, Route
+from .sharing import Source
 from .steering import SteeringObserver
 
 # A flow that opens within this time has lost no packet on the way.
@@ -133,6 +134,13 @@
             self._lost_calls.discard(call)
             self._log.event("store_regained", call=call, **self._beliefs())
 
+    def source_changed(self, source: Source, reason: str) -> None:
+        """Note that the host reads the store, or has a peer read it."""
+        self._counters.count("source_changes", source.value)
+        self._log.event(
+            "source_changed", source=source.value, reason=reason, **self._beliefs()
+        )
+
     def _drop_line(self, event: str, packet: Packet, reason: str) -> None:
         self._log.flow_event(
             event,
--- a/src/wisteriatiller/steering/settings.py
+++ b/src/wisteriatiller/steering/settings.py
@@ -27,9 +27,10 @@
     max_value_bytes: int
     flow_idle_s: float = 60.0
     remote_weight: float = 0.125
-    config_trusted_s: float = 7.0
-    listing_interval_s: float = 1.0
-    watch_wait_s: float = 3.0
+    config_trusted_s: float = 10.0
+    listing_interval_s: float = 0.7
+    share_interval_s: float = 0.6
+    watch_wait_s: float = 4.0
     store_timeout_s: float = 1.0
     store_retry_s: float = 0.25
     peer_timeout_s: float = 0.6
--- /dev/null
+++ b/src/wisteriatiller/steering/sharing.py
@@ -0,0 +1,214 @@
+"""Shares reads of the store among the hosts of a zone.
+
+The first host of a zone reads the store; the others ask it a few times a second and
+make no calls. A host that finds nobody before it with fresh state reads the store
+itself at once, so that every host can stand alone. While the store does not answer, a
+host asks any other for what is newer than its own.
+"""
+
+import random
+from collections.abc import Callable
+from enum import Enum
+
+from wisteriatiller.network.loop import Scheduler
+
+from .directory import UpstreamDirectory
+from .followers import ConfigFollower, DirectoryFollower, FollowerObserver
+from .peers import Peer, PeerLink, PeerRegistry
+from .routes import ConfigView
+from .settings import SteeringSettings
+from .snapshots import Snapshot, SnapshotRequest
+
+# A listing that is older than this shows that its reader has lost the store.
+MAX_LISTING_AGE_S = 1.3
+# A snapshot that is older says nothing that a host could still act on.
+MAX_HELP_AGE_S = 30.0
+# How often a reader makes itself known to some other host.
+INTRODUCTION_INTERVAL_S = 3.0
+
+
+class Source(Enum):
+    STORE = "store"
+    PEER = "peer"
+
+
+class SharedState:
+    """The beliefs that hosts share, and the answer to a host that asks for them."""
+
+    def __init__(
+        self, view: ConfigView, directory: UpstreamDirectory, registry: PeerRegistry
+    ):
+        self.view = view
+        self.directory = directory
+        self.registry = registry
+
+    def request(self, wants_peers: bool) -> SnapshotRequest:
+        return SnapshotRequest(
+            address=self.registry.own.address,
+            zone=self.registry.own.zone,
+            config_version=self.view.version,
+            directory_revision=self.directory.revision,
+            wants_peers=wants_peers,
+        )
+
+    def snapshot(
+        self, request: SnapshotRequest, is_reading: bool, now_s: float
+    ) -> Snapshot:
+        """What is newer than the request; its sender becomes known by asking."""
+        self.registry.add(Peer(request.address, request.zone), now_s)
+        view, directory = self.view, self.directory
+        listing_age_s = directory.age_s(now_s)
+        has_newer_config = view.version > request.config_version
+        has_newer_listing = directory.revision > request.directory_revision
+        return Snapshot(
+            config_version=view.version,
+            config=view.config if has_newer_config else None,
+            config_age_s=view.age_s(now_s),
+            directory_revision=directory.revision,
+            listing=directory.listing if has_newer_listing else None,
+            listing_age_s=listing_age_s,
+            steady_s=directory.steady_s(now_s),
+            is_fresh=is_reading and (listing_age_s or 0.0) <= MAX_LISTING_AGE_S,
+            peers=self._peers() if request.wants_peers else (),
+        )
+
+    def _peers(self) -> tuple[Peer, ...]:
+        return (self.registry.own, *self.registry.known())
+
+
+class ReadSharing:
+    """Decides where this host gets its beliefs from: the store, or a peer."""
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        scheduler: Scheduler,
+        link: PeerLink,
+        state: SharedState,
+        followers: tuple[ConfigFollower, DirectoryFollower],
+        observer: FollowerObserver,
+        changed_source: Callable[[Source, str], None],
+    ):
+        self._settings = settings
+        self._scheduler = scheduler
+        self._link = link
+        self._state = state
+        self._registry = state.registry
+        self._followers = followers
+        self._observer = observer
+        self._changed_source = changed_source
+        self.source = Source.STORE
+        self._is_asking = False
+        self._introduced_at_s = float("-inf")
+        self._asked_at_s = 0.0
+
+    def start(self) -> None:
+        """Read the store, and look for a host to read it instead."""
+        for follower in self._followers:
+            follower.resume()
+        self._tick()
+
+    def is_reading(self) -> bool:
+        """Whether this host reads the store itself and gets answers."""
+        return self.source is Source.STORE and not self._is_store_lost()
+
+    def _is_store_lost(self) -> bool:
+        return any(follower.is_lost() for follower in self._followers)
+
+    def _tick(self) -> None:
+        self._scheduler.call_later(self._settings.share_interval_s, self._tick)
+        if not self._is_asking:
+            self._follow_first()
+
+    def _follow_first(self) -> None:
+        """Ask the first host that may read for this one, or read oneself."""
+        now_s = self._scheduler.now_s()
+        readers = self._registry.readers(now_s)
+        if readers:
+            self._ask(readers[0], self._take_from_reader)
+            return
+        self._read_store("no peer reads")
+        needs_help = self._is_store_lost() or self._state.directory.listing is None
+        is_due = now_s - self._introduced_at_s >= INTRODUCTION_INTERVAL_S
+        helpers = self._registry.helpers(now_s)
+        if helpers and (needs_help or is_due):
+            self._ask(random.choice(helpers), self._take_help)
+
+    def _ask(self, peer: Peer, take: Callable[[Peer, Snapshot | None], None]) -> None:
+        now_s = self._scheduler.now_s()
+        wants_peers = now_s - self._introduced_at_s >= INTRODUCTION_INTERVAL_S
+        if wants_peers:
+            self._introduced_at_s = now_s
+        self._is_asking = True
+        self._asked_at_s = now_s
+
+        def finish(snapshot: Snapshot | None) -> None:
+            self._is_asking = False
+            take(peer, snapshot)
+
+        self._link.ask(peer.address, self._state.request(wants_peers), finish)
+
+    def _take_from_reader(self, peer: Peer, snapshot: Snapshot | None) -> None:
+        now_s = self._scheduler.now_s()
+        if snapshot is None or not snapshot.is_fresh:
+            self._registry.avoid(peer.address, now_s)
+            self._follow_first()
+            return
+        self._registry.add(peer, now_s)
+        self._learn(peer, snapshot)
+        if self.source is Source.STORE:
+            self.source = Source.PEER
+            for follower in self._followers:
+                follower.pause()
+            self._changed_source(self.source, f"follows {peer.address}")
+
+    def _take_help(self, peer: Peer, snapshot: Snapshot | None) -> None:
+        now_s = self._scheduler.now_s()
+        if snapshot is None:
+            self._registry.avoid(peer.address, now_s)
+            return
+        self._registry.add(peer, now_s)
+        self._learn(peer, snapshot)
+
+    def _read_store(self, reason: str) -> None:
+        if self.source is Source.PEER:
+            self.source = Source.STORE
+            for follower in self._followers:
+                follower.resume()
+            self._changed_source(self.source, reason)
+
+    def _learn(self, peer: Peer, snapshot: Snapshot) -> None:
+        self._registry.add_all(
+            (Peer(address, zone) for address, zone in snapshot.peers),
+            self._scheduler.now_s(),
+        )
+        source = f"peer {peer.address}"
+        self._learn_config(snapshot, source)
+        self._learn_listing(snapshot, source)
+
+    def _learn_config(self, snapshot: Snapshot, source: str) -> None:
+        view = self._state.view
+        age_s = snapshot.config_age_s
+        if age_s is None or age_s > MAX_HELP_AGE_S:
+            return
+        if snapshot.config is not None and view.apply(snapshot.config):
+            self._observer.config_applied(view, source)
+        # The age is of the moment when the peer answered, after it was asked.
+        confirmed_at_s = self._asked_at_s - age_s
+        is_newer = confirmed_at_s > (view.confirmed_at_s or float("-inf"))
+        if view.version == snapshot.config_version and is_newer:
+            view.confirm(confirmed_at_s)
+
+    def _learn_listing(self, snapshot: Snapshot, source: str) -> None:
+        directory = self._state.directory
+        age_s = snapshot.listing_age_s
+        if age_s is None or age_s > MAX_HELP_AGE_S:
+            return
+        now_s = self._scheduler.now_s()
+        changes = None
+        if snapshot.listing is not None:
+            changes = directory.apply(snapshot.listing, now_s, snapshot.steady_s, age_s)
+        elif directory.revision == snapshot.directory_revision:
+            changes = directory.confirm(now_s, snapshot.steady_s, age_s)
+        if changes:
+            self._observer.directory_applied(changes, source)
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -1,7 +1,6 @@
-"""Snapshots that hosts give each other while one of them lacks the store.
+"""What hosts tell each other: configuration and listing, with versions and ages.
 
-A snapshot holds the configuration and the listing of upstreams with their versions
-and ages. The receiver takes over only what is newer than its own.
+A request names what the asking host has, and the snapshot leaves out what is not newer.
 """
 
 from typing import NamedTuple
@@ -11,82 +10,107 @@
 from wisteriatiller.exceptions import MessageError
 from wisteriatiller.ids import Address, Revision, ServiceId, UpstreamId, ZoneId
 
-from .directory import UpstreamDirectory
 from .packets import ServiceAddress
-from .routes import ConfigVersion, ConfigView, Route, RouteConfig, WeightedService
+from .routes import ConfigVersion, Route, RouteConfig, WeightedService
 from .upstreams import Listing, Upstream, UpstreamState
 
 MAX_SNAPSHOT_BYTES = 8_000_000
 FORMAT = 1
 
 
+class SnapshotRequest(NamedTuple):
+    """Who asks, and what it has already."""
+
+    address: Address
+    zone: ZoneId
+    config_version: ConfigVersion
+    directory_revision: Revision
+    wants_peers: bool
+
+
 class Snapshot(NamedTuple):
-    """What a host knows; a part that it lacks is None.
+    """What a host believes; ``config`` and ``listing`` are None if not newer.
 
-    ``steady_s`` says for how long the host has read the store without a failure.
+    A host is fresh while it reads the store itself without a failure. ``steady_s``
+    says for how long it has done so. An age of None means that there is nothing.
     """
 
+    config_version: ConfigVersion
     config: RouteConfig | None
-    config_age_s: float
+    config_age_s: float | None
+    directory_revision: Revision
     listing: Listing | None
-    listing_age_s: float
+    listing_age_s: float | None
     steady_s: float
-    peers: tuple[Address, ...]
-
-
-def take_snapshot(
-    view: ConfigView,
-    directory: UpstreamDirectory,
-    peers: tuple[Address, ...],
-    now_s: float,
-) -> Snapshot:
-    """The snapshot of a host at ``now_s``."""
-    has_config = view.config is not None and view.confirmed_at_s is not None
-    has_listing = directory.listing is not None
-    return Snapshot(
-        config=view.config if has_config else None,
-        config_age_s=now_s - view.confirmed_at_s if has_config else 0.0,
-        listing=directory.listing,
-        listing_age_s=now_s - directory.applied_at_s if has_listing else 0.0,
-        steady_s=directory.steady_s(now_s),
-        peers=peers,
-    )
+    is_fresh: bool
+    peers: tuple[tuple[Address, ZoneId], ...]
+
+
+def encode_request(request: SnapshotRequest) -> str:
+    """The request as the query of a URL.
+
+    ``10.1.0.10:8166,quimper-a,7,530,1``
+    """
+    fields = request._replace(wants_peers=int(request.wants_peers))
+    return ",".join(map(str, fields))
+
+
+def decode_request(query: str) -> SnapshotRequest:
+    """Read the query of a URL; ``MessageError`` if it is no request."""
+    try:
+        address, zone, version, revision, wants_peers = query.split(",")
+        return SnapshotRequest(
+            address=Address.parse(address),
+            zone=ZoneId(zone),
+            config_version=ConfigVersion(int(version)),
+            directory_revision=Revision(int(revision)),
+            wants_peers=bool(int(wants_peers)),
+        )
+    except ValueError as error:
+        raise MessageError(f"unreadable snapshot request: {error}") from error
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
-    return msgpack.packb(
-        [
-            FORMAT,
-            _encode_config(snapshot.config),
-            snapshot.config_age_s,
-            _encode_listing(snapshot.listing),
-            snapshot.listing_age_s,
-            snapshot.steady_s,
-            [list(peer) for peer in snapshot.peers],
-        ]
+    fields = snapshot._replace(
+        config=_encode_config(snapshot.config),
+        listing=_encode_listing(snapshot.listing),
+        peers=[[*address, zone] for address, zone in snapshot.peers],
     )
+    return msgpack.packb([FORMAT, *fields])
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
     """Read a snapshot; ``MessageError`` if it is none."""
     try:
-        form, config, config_age_s, listing, listing_age_s, steady_s, peers = (
-            msgpack.unpackb(data)
-        )
+        form, *fields = msgpack.unpackb(data)
         if form != FORMAT:
             raise MessageError(f"snapshot of format {form}, expected {FORMAT}")
-        return Snapshot(
-            config=_decode_config(config),
-            config_age_s=max(0.0, float(config_age_s)),
-            listing=_decode_listing(listing),
-            listing_age_s=max(0.0, float(listing_age_s)),
-            steady_s=max(0.0, float(steady_s)),
-            peers=tuple(Address(str(ip), int(port)) for ip, port in peers),
-        )
+        return _decode_fields(Snapshot(*fields))
     except (ValueError, TypeError, LookupError, msgpack.UnpackException) as error:
         raise MessageError(f"unreadable snapshot: {error!r}") from error
 
 
+def _decode_fields(raw: Snapshot) -> Snapshot:
+    return Snapshot(
+        config_version=ConfigVersion(int(raw.config_version)),
+        config=_decode_config(raw.config),
+        config_age_s=_decode_age_s(raw.config_age_s),
+        directory_revision=Revision(int(raw.directory_revision)),
+        listing=_decode_listing(raw.listing),
+        listing_age_s=_decode_age_s(raw.listing_age_s),
+        steady_s=max(0.0, float(raw.steady_s)),
+        is_fresh=bool(raw.is_fresh),
+        peers=tuple(
+            (Address(str(ip), int(port)), ZoneId(str(zone)))
+            for ip, port, zone in raw.peers
+        ),
+    )
+
+
+def _decode_age_s(value: object) -> float | None:
+    return None if value is None else max(0.0, float(value))
+
+
 def _encode_config(config: RouteConfig | None) -> list | None:
     if config is None:
         return None
@@ -122,7 +146,7 @@
     if listing is None:
         return None
     upstreams = [
-        [*upstream._replace(address=list(upstream.address), state=upstream.state.value)]
+        list(upstream._replace(state=upstream.state.value))
         for upstream in listing.upstreams
     ]
     return [listing.revision, upstreams, list(listing.unreadable)]
--- a/src/wisteriatiller/steering/status.py
+++ b/src/wisteriatiller/steering/status.py
@@ -31,7 +31,8 @@
         "upstreams": [
             _upstream_status(entry, host.steering) for entry in host.directory.entries()
         ],
-        "peers": [str(peer) for peer in host.peers.peers],
+        "source": host.sharing.source.value,
+        "peers": [f"{peer.zone}/{peer.address}" for peer in host.registry.known()],
     }
 
 
