--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -1,12 +1,11 @@
 """What hosts tell each other: configuration and listing, with versions and ages.
 
 A request names what the asking host has, and the snapshot leaves out what is not newer.
+``msgpack`` is loaded with the first snapshot, since a host can serve before that.
 """
 
 from typing import NamedTuple
 
-import msgpack
-
 from wisteriatiller.exceptions import MessageError
 from wisteriatiller.ids import Address, Revision, ServiceId, UpstreamId, ZoneId
 
@@ -71,6 +70,8 @@
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
+    import msgpack
+
     fields = snapshot._replace(
         config=_encode_config(snapshot.config),
         listing=_encode_listing(snapshot.listing),
@@ -81,6 +82,8 @@
 
 def decode_snapshot(data: bytes) -> Snapshot:
     """Read a snapshot; ``MessageError`` if it is none."""
+    import msgpack
+
     try:
         form, *fields = msgpack.unpackb(data)
         if form != FORMAT:
