--- a/src/wisteriatiller/steering/settings.py
+++ b/src/wisteriatiller/steering/settings.py
@@ -26,7 +26,7 @@
     stop_timeout_s: float
     max_value_bytes: int
     flow_idle_s: float = 60.0
-    remote_weight: float = 0.125
+    remote_weight: float = 0.02
     config_trusted_s: float = 10.0
     listing_interval_s: float = 0.7
     share_interval_s: float = 0.6
