--- a/src/wisteriatiller/steering/choice.py
+++ b/src/wisteriatiller/steering/choice.py
@@ -6,12 +6,13 @@
 or else all hosts would begin with the same one.
 """
 
+import math
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
 
-from wisteriatiller.ids import FlowKey, UpstreamId, ZoneId
+from wisteriatiller.ids import FlowKey, ServiceId, UpstreamId, ZoneId
 
 from .directory import DirectoryEntry
 from .evidence import Evidence, UpstreamEvidence, Verdict
@@ -19,6 +20,10 @@
 
 # A cold upstream works about this much slower than a warm one.
 COLD_WEIGHT = 0.6
+# New flows of the last moments for each slot of the own zone, above which the other
+# zones help. All hosts of a zone see their share of the same wave.
+BURST_FLOWS_PER_SLOT = 0.5
+BURST_DECAY_S = 0.5
 
 
 class Choice(NamedTuple):
@@ -29,8 +34,27 @@
     is_trial: bool
 
 
+class OpeningRate:
+    """New flows of the last moments, each counting less as it ages."""
+
+    def __init__(self):
+        self._weight = 0.0
+        self._updated_at_s = 0.0
+
+    def add(self, now_s: float) -> None:
+        self._weight = self.value(now_s) + 1.0
+        self._updated_at_s = now_s
+
+    def value(self, now_s: float) -> float:
+        return self._weight * math.exp((self._updated_at_s - now_s) / BURST_DECAY_S)
+
+
 class UpstreamChooser:
-    """Chooses among the entries of a service."""
+    """Chooses among the entries of a service.
+
+    New flows stay in the host's zone, where no cut between zones reaches them, until
+    a wave of them is more than the zone's upstreams can take.
+    """
 
     def __init__(
         self,
@@ -43,6 +67,7 @@
         self._remote_weight = remote_weight
         self._flows = flows
         self._evidence = evidence
+        self._rates: dict[ServiceId, OpeningRate] = {}
 
     def choose(
         self,
@@ -67,9 +92,27 @@
         if trial is not None:
             return Choice(trial, len(pool), True)
         trusted = [entry for entry in pool if self._is_trusted(entry)] or pool
-        best = min(trusted, key=lambda entry: self._cost(entry, flow, now_s))
+        remote_weight = self._remote_weight_now(entries, now_s)
+        best = min(
+            trusted, key=lambda entry: self._cost(entry, flow, remote_weight, now_s)
+        )
         return Choice(best, len(trusted), False)
 
+    def _remote_weight_now(
+        self, entries: Sequence[DirectoryEntry], now_s: float
+    ) -> float:
+        """Count a new flow of a service; in a wave all zones weigh the same."""
+        rate = self._rates.setdefault(entries[0].upstream.service, OpeningRate())
+        rate.add(now_s)
+        local_slots = sum(
+            entry.upstream.slots
+            for entry in entries
+            if entry.upstream.zone == self._zone
+        )
+        if rate.value(now_s) > BURST_FLOWS_PER_SLOT * local_slots:
+            return 1.0
+        return self._remote_weight
+
     def _due_trial(
         self,
         pool: Sequence[DirectoryEntry],
@@ -96,12 +139,16 @@
         return self._evidence.of(entry.upstream.upstream_id)
 
     def _cost(
-        self, entry: DirectoryEntry, flow: FlowKey, now_s: float
+        self,
+        entry: DirectoryEntry,
+        flow: FlowKey,
+        remote_weight: float,
+        now_s: float,
     ) -> tuple[float, int]:
         upstream = entry.upstream
         weight = upstream.slots * self._of(entry).weight(now_s)
         if upstream.zone != self._zone:
-            weight *= self._remote_weight
+            weight *= remote_weight
         listed_ms = 1000.0 * (now_s - entry.since_s)
         if upstream.warmup_left_ms > listed_ms:
             weight *= COLD_WEIGHT
