Let all zones take a wave of new flows

Above one new flow for each local slot within half a second, the other zones count the same as the own.

--- a/src/wisteriatiller/steering/choice.py
+++ b/src/wisteriatiller/steering/choice.py
@@ -22,7 +22,7 @@
 COLD_WEIGHT = 0.6
 # New flows of the last moments for each slot of the own zone, above which the other
 # zones help. All hosts of a zone see their share of the same wave.
-BURST_FLOWS_PER_SLOT = 2.0
+BURST_FLOWS_PER_SLOT = 1.0
 BURST_DECAY_S = 0.5
 
 
