--- a/src/wisteriatiller/steering/choice.py
+++ b/src/wisteriatiller/steering/choice.py
@@ -20,9 +20,11 @@
 
 # A cold upstream works about this much slower than a warm one.
 COLD_WEIGHT = 0.6
-# New flows of the last moments for each slot of the own zone, above which the other
-# zones help. All hosts of a zone see their share of the same wave.
-BURST_FLOWS_PER_SLOT = 1.0
+# New flows of the last moments, above which the other zones help: so many for each
+# slot of the own zone, and some that come together by chance. All hosts of a zone see
+# their share of the same wave.
+BURST_FLOWS_PER_SLOT = 0.75
+BURST_FLOWS_BY_CHANCE = 2.0
 BURST_DECAY_S = 0.5
 
 
@@ -109,9 +111,8 @@
             for entry in entries
             if entry.upstream.zone == self._zone
         )
-        if rate.value(now_s) > BURST_FLOWS_PER_SLOT * local_slots:
-            return 1.0
-        return self._remote_weight
+        limit = BURST_FLOWS_PER_SLOT * local_slots + BURST_FLOWS_BY_CHANCE
+        return 1.0 if rate.value(now_s) > limit else self._remote_weight
 
     def _due_trial(
         self,
