Send copies of an opening packet that come at once to one upstream

Cause: an opening packet and its copies may wait together in a host's socket while it loads. A copy goes elsewhere only if there was time for an answer.

--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -106,7 +106,7 @@
         flow = self.flows.get(packet.flow, now_s)
         if flow is not None and not self._is_copy(flow, packet):
             flow = None
-        if flow is not None and flow.state is not FlowState.OPENING:
+        if flow is not None and not self._is_unanswered(flow, now_s):
             return self._repeat_opening(flow)
         if flow is not None:
             self._complain(flow, flow.sent_at_s, now_s)
@@ -116,8 +116,17 @@
         """Whether an opening packet belongs to a known flow, not to a new one."""
         return packet.copy > 0 or flow.sequence == packet.sequence
 
+    def _is_unanswered(self, flow: Flow, now_s: float) -> bool:
+        """Whether the packets before this copy have had time for an answer.
+
+        Copies that waited together in this host's socket come at once. Sent to
+        several upstreams, they would open the flow at one and go on at another.
+        """
+        is_opening = flow.state is FlowState.OPENING
+        return is_opening and now_s - flow.sent_at_s >= MIN_REPEAT_S
+
     def _repeat_opening(self, flow: Flow) -> Decision:
-        """A copy that comes late, after the flow has opened."""
+        """Send a copy where the one before it went."""
         entry = self._directory.get(flow.upstream_id)
         if entry is None:
             return Discard(DiscardReason.NO_STATE)
