--- a/src/wisteriatiller/__init__.py
+++ b/src/wisteriatiller/__init__.py
@@ -13,8 +13,6 @@
 steers flows does not load the request path with them.
 """
 
-from importlib import import_module
-
 __version__ = "0.1.0"
 
 _MODULES = {
@@ -45,4 +43,6 @@
     module = _MODULES.get(name)
     if module is None:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from importlib import import_module
+
     return getattr(import_module(f"{__name__}.{module}"), name)
