--- a/src/wisteriatiller/steering/choice.py
+++ b/src/wisteriatiller/steering/choice.py
@@ -18,8 +18,10 @@
 from .evidence import Evidence, UpstreamEvidence, Verdict
 from .flowtable import FlowTable
 
-# A cold upstream works about this much slower than a warm one.
-COLD_WEIGHT = 0.6
+_HASH_RANGE = float(1 << 64)
+
+# A cold upstream works slower than a warm one by about this factor.
+COLD_SHARE = 0.6
 # New flows of the last moments, above which the other zones help: so many for each
 # slot of the own zone, and some that come together by chance. All hosts of a zone see
 # their share of the same wave.
@@ -94,10 +96,9 @@
         if trial is not None:
             return Choice(trial, len(pool), True)
         trusted = [entry for entry in pool if self._is_trusted(entry)] or pool
+        trusted = self._without_ramping(trusted, flow, now_s) or trusted
         remote_weight = self._remote_weight_now(entries, now_s)
-        best = min(
-            trusted, key=lambda entry: self._cost(entry, flow, remote_weight, now_s)
-        )
+        best = min(trusted, key=lambda entry: self._cost(entry, flow, remote_weight))
         return Choice(best, len(trusted), False)
 
     def _remote_weight_now(
@@ -133,6 +134,31 @@
                 return entry
         return None
 
+    def _without_ramping(
+        self, pool: Sequence[DirectoryEntry], flow: FlowKey, now_s: float
+    ) -> list[DirectoryEntry]:
+        """Leave out new and returned upstreams, but for their share of the flows.
+
+        They have the fewest open flows, and would get all new ones while they are
+        still slow.
+        """
+        return [
+            entry
+            for entry in pool
+            if self._draw(entry, flow) * len(pool) < self._ramp(entry, now_s)
+        ]
+
+    def _ramp(self, entry: DirectoryEntry, now_s: float) -> float:
+        """The part of an even share that an upstream may take; infinite if warm."""
+        ramp = self._of(entry).ramp(now_s)
+        listed_ms = 1000.0 * (now_s - entry.since_s)
+        if entry.upstream.warmup_left_ms > listed_ms:
+            return min(ramp, COLD_SHARE)
+        return ramp if ramp < 1.0 else math.inf
+
+    def _draw(self, entry: DirectoryEntry, flow: FlowKey) -> float:
+        return xxh3_64_intdigest(flow, seed=entry.tag) / _HASH_RANGE
+
     def _is_trusted(self, entry: DirectoryEntry) -> bool:
         return self._of(entry).verdict is Verdict.TRUSTED
 
@@ -144,14 +170,10 @@
         entry: DirectoryEntry,
         flow: FlowKey,
         remote_weight: float,
-        now_s: float,
-    ) -> tuple[float, int]:
+    ) -> tuple[float, float]:
         upstream = entry.upstream
-        weight = upstream.slots * self._of(entry).weight(now_s)
+        weight = float(upstream.slots)
         if upstream.zone != self._zone:
             weight *= remote_weight
-        listed_ms = 1000.0 * (now_s - entry.since_s)
-        if upstream.warmup_left_ms > listed_ms:
-            weight *= COLD_WEIGHT
         flows = self._flows.open_flows(upstream.upstream_id)
-        return (flows + 1) / weight, xxh3_64_intdigest(flow, seed=entry.tag)
+        return (flows + 1) / weight, self._draw(entry, flow)
--- a/src/wisteriatiller/steering/evidence.py
+++ b/src/wisteriatiller/steering/evidence.py
@@ -18,7 +18,7 @@
 MAX_EJECTION_S = 4.0
 # After its return an upstream takes a growing share of new flows for this long.
 RETURN_RAMP_S = 2.0
-RETURN_WEIGHT = 0.25
+RETURN_SHARE = 0.25
 # What speaks against an upstream counts for this long.
 COMPLAINT_KEPT_S = 3.0
 
@@ -98,12 +98,12 @@
         self._ejection_s = min(2 * self._ejection_s, MAX_EJECTION_S)
         self._retry_at_s = now_s + self._ejection_s
 
-    def weight(self, now_s: float) -> float:
-        """The share of new flows that a returned upstream takes, up to 1."""
+    def ramp(self, now_s: float) -> float:
+        """The part of an even share that a returned upstream may take, up to 1."""
         returned_s = now_s - self._returned_at_s
         if returned_s >= RETURN_RAMP_S:
             return 1.0
-        return RETURN_WEIGHT + (1.0 - RETURN_WEIGHT) * returned_s / RETURN_RAMP_S
+        return RETURN_SHARE + (1.0 - RETURN_SHARE) * returned_s / RETURN_RAMP_S
 
 
 class Evidence:
