--- /dev/null
+++ b/tests/readsharing.feature
@@ -0,0 +1,71 @@
+Feature: Shared reads of the store
+  The first host of a zone reads for the others; every host can stand alone.
+
+  Background:
+    Given 12 sharing hosts in 3 zones that know one seed
+
+  Scenario: One host of each zone reads the store
+    # Guards against calls that grow with the number of hosts.
+    When 20 seconds of sharing pass
+    Then 3 hosts read the store
+    # A host that reads alone makes 34 calls: 29 listings and 5 watches.
+    And the hosts make at most 133 calls in the next 20 seconds
+
+  Scenario: A configuration reaches every host in time
+    # Guards against hosts that follow a peer which is behind.
+    When 20 seconds of sharing pass
+    And configuration 2 is put and 1.5 seconds pass
+    Then every host runs configuration 2
+
+  Scenario: A reader that loses the store does not hold the others back
+    # Guards against followers that trust a host without the store.
+    When 20 seconds of sharing pass
+    And the readers lose the store silently
+    And configuration 2 is put and 3 seconds pass
+    Then every host that reaches the store runs configuration 2
+
+  Scenario: A reader whose store refuses it is replaced
+    # Pattern: the store turns some hosts away and serves the others.
+    When 20 seconds of sharing pass
+    And the store refuses the readers
+    And configuration 2 is put and 3 seconds pass
+    Then every host runs configuration 2
+
+  Scenario: The death of a reader costs its zone no time
+    # Guards against a zone that waits for its reader.
+    When 20 seconds of sharing pass
+    And the readers die
+    And configuration 2 is put and 3 seconds pass
+    Then every live host runs configuration 2
+
+  Scenario: A zone that is cut off from the others goes on reading
+    # Guards against a dependence on hosts of other zones.
+    When 20 seconds of sharing pass
+    And the first zone is cut off from the other hosts
+    And configuration 2 is put and 1.5 seconds pass
+    Then every host runs configuration 2
+
+  Scenario: A host that starts while the store is away learns from its peers
+    # Guards against hosts that cannot start without the store.
+    When 20 seconds of sharing pass
+    And the store is silent for all
+    And a host starts and 2 seconds pass
+    Then the new host knows configuration 1 and 2 upstreams
+
+  Scenario: All hosts start while the store is away and go on when it is back
+    # Guards against a start that gives up.
+    Given a fleet that starts while the store is silent
+    When the store answers again and 3 seconds pass
+    Then every host runs configuration 1
+
+  Scenario: A store that lost its history is read anew
+    # Guards against a watch that fails for ever.
+    When 20 seconds of sharing pass
+    And the store loses its history, configuration 2 is put and 1.5 seconds pass
+    Then every host runs configuration 2
+
+  Scenario: No host takes an older configuration from a peer
+    # Guards against a version that goes back.
+    When 20 seconds of sharing pass
+    And a host with configuration 3 follows a reader with configuration 1
+    Then that host still runs configuration 3
--- /dev/null
+++ b/tests/steeringfakes.py
@@ -0,0 +1,226 @@
+"""A store and hosts that share its reads, on virtual time."""
+
+from tests.steeringworld import listing, steering_settings
+from wisteriatiller.steering.directory import UpstreamDirectory
+from wisteriatiller.steering.followers import (
+    ConfigFollower,
+    DirectoryFollower,
+    FollowerObserver,
+)
+from wisteriatiller.steering.peers import Peer, PeerLink, PeerRegistry
+from wisteriatiller.steering.ports import (
+    ConfigMissing,
+    ConfigRead,
+    ConfigUnchanged,
+    HistoryLost,
+    StoreFailure,
+    StoreFailureReason,
+    StoreReader,
+)
+from wisteriatiller.steering.routes import ConfigView
+from wisteriatiller.steering.sharing import ReadSharing, SharedState
+from wisteriatiller.steering.snapshots import (
+    decode_request,
+    decode_snapshot,
+    encode_request,
+    encode_snapshot,
+)
+
+ANSWER_S = 0.004
+STORE_TIMEOUT_S = 1.0
+PEER_DELAY_S = 0.003
+
+
+class FakeStoreState:
+    """What the store holds, and who reaches it."""
+
+    def __init__(self):
+        self.revision = 1
+        self.config = None
+        self.config_revision = 0
+        self.upstreams = ()
+        self.silent_for = set()
+        self.refuses = set()
+        self.history_lost = False
+        self.calls = 0
+
+    def put_config(self, config):
+        self.revision += 1
+        self.config = config
+        self.config_revision = self.revision
+
+    def put_upstreams(self, *upstreams):
+        self.revision += 1
+        self.upstreams = upstreams
+
+
+class FakeStore(StoreReader):
+    """One host's access to the state."""
+
+    def __init__(self, scheduler, state, name):
+        self._scheduler = scheduler
+        self._state = state
+        self._name = name
+
+    def read_config(self, done):
+        self._answer(done, self._config, STORE_TIMEOUT_S)
+
+    def watch_config(self, after, wait_s, done):
+        self._state.calls += 1
+        end_s = self._scheduler.now_s() + wait_s
+        self._poll(after, end_s, done)
+
+    def list_upstreams(self, done):
+        state = self._state
+        self._answer(
+            done, lambda: listing(state.revision, *state.upstreams), STORE_TIMEOUT_S
+        )
+
+    def move_to(self, address):
+        raise NotImplementedError
+
+    def _poll(self, after, end_s, done):
+        failure = self._failure()
+        if failure is not None and self._name in self._state.refuses:
+            self._scheduler.call_later(ANSWER_S, lambda: done(failure))
+        elif failure is not None:
+            wait_s = max(0.0, end_s - self._scheduler.now_s()) + STORE_TIMEOUT_S
+            self._scheduler.call_later(wait_s, lambda: done(failure))
+        elif self._state.history_lost:
+            self._scheduler.call_later(ANSWER_S, lambda: done(HistoryLost()))
+        elif self._state.config_revision > after:
+            self._scheduler.call_later(ANSWER_S, lambda: done(self._config()))
+        elif self._scheduler.now_s() >= end_s:
+            done(ConfigUnchanged(self._state.revision))
+        else:
+            self._scheduler.call_later(0.02, lambda: self._poll(after, end_s, done))
+
+    def _config(self):
+        if self._state.config is None:
+            return ConfigMissing(self._state.revision)
+        return ConfigRead(self._state.revision, self._state.config)
+
+    def _answer(self, done, make, timeout_s):
+        self._state.calls += 1
+        failure = self._failure()
+        if failure is None:
+            self._scheduler.call_later(ANSWER_S, lambda: done(make()))
+        else:
+            wait_s = ANSWER_S if self._name in self._state.refuses else timeout_s
+            self._scheduler.call_later(wait_s, lambda: done(failure))
+
+    def _failure(self):
+        if self._name in self._state.refuses:
+            return StoreFailure(StoreFailureReason.REFUSED, "status 503")
+        if self._name in self._state.silent_for:
+            return StoreFailure(StoreFailureReason.UNREACHABLE, "timeout")
+        return None
+
+
+class QuietObserver(FollowerObserver):
+    """Keeps what a host took over, with the time."""
+
+    def __init__(self, scheduler):
+        self._scheduler = scheduler
+        self.applied = {}
+        self.failures = 0
+        self.invalid = 0
+
+    def config_applied(self, view, source):
+        self.applied[view.version] = (self._scheduler.now_s(), source)
+
+    def config_invalid(self, answer):
+        self.invalid += 1
+
+    def directory_applied(self, changes, source):
+        pass
+
+    def store_failed(self, call, failure, failures):
+        self.failures += 1
+
+    def store_answered(self, call, waited_s):
+        pass
+
+
+class FakeLink(PeerLink):
+    """Passes requests to the other hosts of a fleet, encoded as on the wire."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    def ask(self, peer, request, done):
+        fleet = self._fleet
+        host = fleet.by_address.get(peer)
+        is_cut = host is None or host.is_dead or (self._name, host.name) in fleet.cuts
+        if is_cut:
+            fleet.scheduler.call_later(0.6, lambda: done(None))
+            return
+
+        def answer():
+            received = decode_request(encode_request(request))
+            snapshot = host.state.snapshot(
+                received, host.sharing.is_reading(), fleet.scheduler.now_s()
+            )
+            done(decode_snapshot(encode_snapshot(snapshot)))
+
+        fleet.scheduler.call_later(PEER_DELAY_S, answer)
+
+
+class FleetHost:
+    """The followers and the sharing of one host."""
+
+    def __init__(self, fleet, zone, number, seeds):
+        self.name = f"host-{number}"
+        self.is_dead = False
+        self.settings = steering_settings(zone, self.name, number, seeds=seeds)
+        own = Peer(self.settings.control_listen, self.settings.zone)
+        self.view = ConfigView()
+        self.directory = UpstreamDirectory()
+        self.state = SharedState(self.view, self.directory, PeerRegistry(own))
+        for seed in seeds:
+            self.state.registry.add(Peer(seed, ""), fleet.scheduler.now_s())
+        store = FakeStore(fleet.scheduler, fleet.store, self.name)
+        self.observer = QuietObserver(fleet.scheduler)
+        parts = (self.settings, fleet.scheduler, store)
+        self.followers = (
+            ConfigFollower(*parts, self.view, self.observer),
+            DirectoryFollower(*parts, self.directory, self.observer),
+        )
+        self.sharing = ReadSharing(
+            self.settings,
+            fleet.scheduler,
+            FakeLink(fleet, self.name),
+            self.state,
+            self.followers,
+            self.observer,
+            lambda source, reason: None,
+        )
+
+    def kill(self):
+        """Stop asking and answering, as a host without power does."""
+        self.is_dead = True
+        self.sharing._is_asking = True
+        for follower in self.followers:
+            follower.pause()
+
+
+class Fleet:
+    """Hosts of several zones before one store."""
+
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+        self.store = FakeStoreState()
+        self.hosts = []
+        self.by_address = {}
+        self.cuts = set()
+
+    def add(self, zone, seeds=()):
+        host = FleetHost(self, zone, len(self.hosts) + 1, seeds)
+        self.hosts.append(host)
+        self.by_address[host.settings.control_listen] = host
+        host.sharing.start()
+        return host
+
+    def cut(self, first, second):
+        self.cuts |= {(first.name, second.name), (second.name, first.name)}
--- /dev/null
+++ b/tests/steps/readsharing_steps.py
@@ -0,0 +1,171 @@
+"""Steps for hosts that share reads of the store."""
+
+import random
+
+from behave import given, then, when
+
+from tests.steeringfakes import Fleet
+from tests.steeringworld import VirtualScheduler, route_config, upstream
+from wisteriatiller.steering.sharing import Source
+
+ZONES = "abc"
+
+
+def config(version):
+    return route_config(version, ("stock", 1.0))
+
+
+def make_fleet(context, is_silent):
+    random.seed(1)
+    context.scheduler = VirtualScheduler()
+    context.fleet = Fleet(context.scheduler)
+    store = context.fleet.store
+    store.put_config(config(1))
+    store.put_upstreams(upstream("1"), upstream("2", zone="b"))
+    if is_silent:
+        store.silent_for = {f"host-{number + 1}" for number in range(12)}
+    seed = context.fleet.add("a")
+    for number in range(1, 12):
+        context.fleet.add(ZONES[number % 3], (seed.settings.control_listen,))
+    context.dead = []
+
+
+@given("12 sharing hosts in 3 zones that know one seed")
+def given_fleet(context):
+    make_fleet(context, is_silent=False)
+
+
+@given("a fleet that starts while the store is silent")
+def given_silent(context):
+    make_fleet(context, is_silent=True)
+    context.scheduler.run_for(5.0)
+
+
+def readers(context):
+    return [
+        host
+        for host in context.fleet.hosts
+        if host.sharing.source is Source.STORE and not host.is_dead
+    ]
+
+
+@when("{duration_s:g} seconds of sharing pass")
+def when_share(context, duration_s):
+    context.scheduler.run_for(duration_s)
+
+
+@when("configuration {version:d} is put and {duration_s:g} seconds pass")
+def when_put(context, version, duration_s):
+    context.fleet.store.put_config(config(version))
+    context.scheduler.run_for(duration_s)
+
+
+@when("the readers lose the store silently")
+def when_silent(context):
+    context.fleet.store.silent_for = {host.name for host in readers(context)}
+    context.lost = set(context.fleet.store.silent_for)
+
+
+@when("the store refuses the readers")
+def when_refuse(context):
+    context.fleet.store.refuses = {host.name for host in readers(context)}
+
+
+@when("the readers die")
+def when_die(context):
+    for host in readers(context):
+        host.kill()
+
+
+@when("the first zone is cut off from the other hosts")
+def when_cut(context):
+    for host in context.fleet.hosts:
+        for other in context.fleet.hosts:
+            if host.settings.zone == "a" != other.settings.zone:
+                context.fleet.cut(host, other)
+
+
+@when("the store is silent for all")
+def when_all_silent(context):
+    context.fleet.store.silent_for = {f"host-{number}" for number in range(1, 20)}
+
+
+@when("a host starts and {duration_s:g} seconds pass")
+def when_start(context, duration_s):
+    seed = context.fleet.hosts[0].settings.control_listen
+    context.newcomer = context.fleet.add("b", (seed,))
+    context.scheduler.run_for(duration_s)
+
+
+@when("the store answers again and {duration_s:g} seconds pass")
+def when_back(context, duration_s):
+    context.fleet.store.silent_for = set()
+    context.scheduler.run_for(duration_s)
+
+
+@when(
+    "the store loses its history, configuration {version:d} is put and "
+    "{duration_s:g} seconds pass"
+)
+def when_history(context, version, duration_s):
+    store = context.fleet.store
+    store.history_lost = True
+    store.put_config(config(version))
+    context.scheduler.run_for(0.1)
+    store.history_lost = False
+    context.scheduler.run_for(duration_s)
+
+
+@when("a host with configuration 3 follows a reader with configuration 1")
+def when_older(context):
+    context.ahead = next(
+        host for host in context.fleet.hosts if host.sharing.source is Source.PEER
+    )
+    context.ahead.view.apply(config(3))
+    context.scheduler.run_for(3.0)
+
+
+@then("{count:d} hosts read the store")
+def then_readers(context, count):
+    found = [host.name for host in readers(context)]
+    assert len(found) == count, found
+
+
+@then("the hosts make at most {limit:d} calls in the next {duration_s:g} seconds")
+def then_calls(context, limit, duration_s):
+    before = context.fleet.store.calls
+    context.scheduler.run_for(duration_s)
+    calls = context.fleet.store.calls - before
+    assert calls <= limit, calls
+
+
+def check_version(hosts, version):
+    behind = {host.name: host.view.version for host in hosts}
+    assert set(behind.values()) == {version}, behind
+
+
+@then("every host runs configuration {version:d}")
+def then_every(context, version):
+    check_version(context.fleet.hosts, version)
+
+
+@then("every live host runs configuration {version:d}")
+def then_live(context, version):
+    check_version([host for host in context.fleet.hosts if not host.is_dead], version)
+
+
+@then("every host that reaches the store runs configuration {version:d}")
+def then_reaching(context, version):
+    hosts = [host for host in context.fleet.hosts if host.name not in context.lost]
+    check_version(hosts, version)
+
+
+@then("the new host knows configuration {version:d} and {count:d} upstreams")
+def then_newcomer(context, version, count):
+    check_version([context.newcomer], version)
+    assert len(list(context.newcomer.directory.entries())) == count
+
+
+@then("that host still runs configuration {version:d}")
+def then_still(context, version):
+    check_version([context.ahead], version)
