--- /dev/null
+++ b/testbed/platformstandin.py
@@ -0,0 +1,253 @@
+"""A stand-in of the users' platform: its store over HTTP, packets and settings.
+
+It speaks the published formats, so that the adapter and whole host processes can be
+tested on loopback addresses without the users' bench.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+import threading
+from enum import Enum
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+HEADER = struct.Struct(">IIHIHHIIBBI")
+SYN, ACK, FIN, RST = 8, 16, 2, 64
+PAGE_ITEMS = 50
+
+
+class StoreMode(Enum):
+    """How the store treats calls."""
+
+    NORMAL = "normal"
+    SILENT = "silent"
+    REFUSING = "refusing"
+    GARBLED = "garbled"
+
+
+class StandInStore:
+    """Items with revisions, served from a thread of its own."""
+
+    def __init__(self, ip: str, port: int = 0):
+        self.mode = StoreMode.NORMAL
+        self.history_from = 0
+        self.calls: list[str] = []
+        self._revision = 1
+        self._items: dict[str, tuple[bytes, int]] = {}
+        self._loop = asyncio.new_event_loop()
+        self._changed: asyncio.Event | None = None
+        started = threading.Event()
+        self._thread = threading.Thread(
+            target=self._serve, args=(ip, port, started), daemon=True
+        )
+        self._thread.start()
+        started.wait()
+
+    def put(self, key: str, value: dict | bytes) -> None:
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._call(self._put, key, data)
+
+    def remove(self, key: str) -> None:
+        self._call(self._put, key, None)
+
+    def close(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def item(self, key: str) -> dict | None:
+        if key not in self._items:
+            return None
+        value, revision = self._items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": revision,
+            "create_revision": revision,
+            "lease": 0,
+        }
+
+    def page(self, prefix: str, after: str) -> dict:
+        keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
+        return {
+            "items": [self.item(key) for key in keys[:PAGE_ITEMS]],
+            "truncated": len(keys) > PAGE_ITEMS,
+            "store_revision": self._revision,
+        }
+
+    async def wait_events(self, prefix: str, after: int, wait_s: float) -> dict:
+        end_s = self._loop.time() + wait_s
+        while True:
+            events = [
+                self.item(key)
+                for key, (_, revision) in self._items.items()
+                if key.startswith(prefix) and revision > after
+            ]
+            rest_s = end_s - self._loop.time()
+            if events or rest_s <= 0:
+                return {"events": events, "store_revision": self._revision}
+            try:
+                await asyncio.wait_for(self._changed.wait(), rest_s)
+            except TimeoutError:
+                continue
+
+    @property
+    def revision(self) -> int:
+        return self._revision
+
+    def _put(self, key: str, data: bytes | None) -> None:
+        self._revision += 1
+        if data is None:
+            self._items.pop(key, None)
+        else:
+            self._items[key] = (data, self._revision)
+        self._changed.set()
+        self._changed.clear()
+
+    def _call(self, function, *arguments) -> None:
+        done = threading.Event()
+
+        def run():
+            function(*arguments)
+            done.set()
+
+        self._loop.call_soon_threadsafe(run)
+        done.wait()
+
+    def _serve(self, ip: str, port: int, started: threading.Event) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_until_complete(self._listen(ip, port))
+        started.set()
+        self._loop.run_forever()
+        self._server.stop()
+
+    async def _listen(self, ip: str, port: int) -> None:
+        self._changed = asyncio.Event()
+        routes = [
+            (f"/kv-{name}", handler, {"store": self})
+            for name, handler in (
+                ("key", _KeyHandler),
+                ("range", _RangeHandler),
+                ("watch", _WatchHandler),
+            )
+        ]
+        self._server = HTTPServer(Application(routes, log_function=lambda _: None))
+        self._server.listen(port, ip)
+        sockets = list(self._server._sockets.values())
+        self.address = f"{ip}:{sockets[0].getsockname()[1]}"
+
+
+class _StoreHandler(RequestHandler):
+    def initialize(self, store: StandInStore):
+        self.store = store
+
+    async def get(self):
+        self.store.calls.append(self.request.uri)
+        if self.store.mode is StoreMode.SILENT:
+            await asyncio.sleep(3600)
+        elif self.store.mode is StoreMode.REFUSING:
+            self.send_error(503)
+        elif self.store.mode is StoreMode.GARBLED:
+            self.finish(b"\x00not json")
+        else:
+            await self.answer()
+
+
+class _KeyHandler(_StoreHandler):
+    async def answer(self):
+        item = self.store.item(self.get_query_argument("key"))
+        if item is None:
+            self.send_error(404)
+        else:
+            self.finish({**item, "store_revision": self.store.revision})
+
+
+class _RangeHandler(_StoreHandler):
+    async def answer(self):
+        prefix = self.get_query_argument("prefix")
+        self.finish(self.store.page(prefix, self.get_query_argument("after", "")))
+
+
+class _WatchHandler(_StoreHandler):
+    async def answer(self):
+        after = int(self.get_query_argument("after"))
+        if after < self.store.history_from:
+            self.send_error(410)
+            return
+        wait_s = int(self.get_query_argument("wait_ms")) / 1000
+        prefix = self.get_query_argument("prefix")
+        self.finish(await self.store.wait_events(prefix, after, wait_s))
+
+
+def pack_packet(
+    source: str,
+    service: str,
+    flags: int,
+    echo: int = 0,
+    seq: int = 0,
+    ack: int = 0,
+    data: bytes = b"",
+) -> bytes:
+    """A packet between two addresses of the form IP:PORT."""
+    (src, sport), (dst, dport) = map(_numbers, (source, service))
+    head = HEADER.pack(
+        echo, src, sport, dst, dport, len(data), seq, ack, flags, 0, 0xA1B2C3D5
+    )
+    return head + data
+
+
+def _numbers(address: str) -> tuple[int, int]:
+    ip, _, port = address.rpartition(":")
+    number = int.from_bytes(bytes(map(int, ip.split("."))), "big")
+    return number, int(port)
+
+
+def entry(service: str, address: str, **changes) -> dict:
+    """What an upstream writes about itself."""
+    made = {
+        "service": service,
+        "address": address,
+        "zone": "zone-a",
+        "version": "v1",
+        "concurrency": 3,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": 4,
+        "born": 1_790_000_000_000,
+    }
+    return {**made, **changes}
+
+
+def configuration(version: int, *routes: dict) -> dict:
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [],
+        "limits": {"idle_timeout_ms": 15000},
+    }
+
+
+def route(host: str, port: int, service: str, **changes) -> dict:
+    made = {"name": "r-1", "host": host, "prefix": f"/{port}/", "service": service}
+    return {**made, **changes}
+
+
+def settings_text(ip: str, store: str, seeds: str = "", **changes: str) -> str:
+    """The settings file of one host; a field that is None is left out."""
+    fields = {
+        "node_name": "frontend-zone-a-1",
+        "zone": "zone-a",
+        "listen_addrs.datagram_addr": f"{ip}:8172",
+        "listen_addrs.ready_addr": f"{ip}:8167",
+        "listen_addrs.control": f"{ip}:8166",
+        "seeds": seeds,
+        "bounds.grace_s": "6",
+        "platform.address": store,
+        "platform.value_bytes": "1048576",
+        "fields.of.later.versions": "1,2",
+    }
+    fields |= {name.replace("__", "."): value for name, value in changes.items()}
+    lines = [f"{name}={value}" for name, value in fields.items() if value is not None]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/tests/steps/platformadapter_steps.py
@@ -0,0 +1,235 @@
+"""Steps for the adapter to the users' platform."""
+
+import json
+import random
+import time
+
+from behave import given, then, when
+
+from testbed.platformstandin import (
+    ACK,
+    StandInStore,
+    StoreMode,
+    configuration,
+    entry,
+    pack_packet,
+    route,
+    settings_text,
+)
+from tests.steeringworld import steering_settings, upstream
+from wisteriatiller.ids import Address
+from wisteriatiller.network import EventLoop
+from wisteriatiller.platform.entries import EntryError, decode_config, decode_upstream
+from wisteriatiller.platform.fields import parse_fields
+from wisteriatiller.platform.packets import FlowPacketCodec
+from wisteriatiller.platform.settingsfile import SettingsFileError, decode_settings
+from wisteriatiller.platform.store import PlatformStore
+from wisteriatiller.steering import PacketKind, Tag
+from wisteriatiller.steering.packets import flow_text
+from wisteriatiller.steering.ports import ConfigRead, ConfigUnchanged, HistoryLost
+
+RETURN_PORT = 8172
+OPENING = bytes.fromhex(
+    "00000000 64400007 9c41 c6120001 01bb 0000 11223344 00000000 08 00 a1b2c3d5"
+)
+RESET = bytes.fromhex(
+    "00000000 c6120001 01bb 64400007 9c41 0000 00000000 00000000 40 00 00000000"
+)
+CODEC = FlowPacketCodec(RETURN_PORT)
+ADDRESS = "10.128.0.9:8080"
+
+
+@given("the published bytes of an opening packet")
+def given_bytes(context):
+    context.data = OPENING
+
+
+@then("the codec reads flow {flow} with sequence {sequence:d}")
+def then_reads(context, flow, sequence):
+    packet = CODEC.decode(context.data)
+    assert packet.kind is PacketKind.OPENING
+    assert flow_text(packet.flow) == flow
+    assert packet.sequence == sequence
+
+
+@then("the codec writes the published reset to {ip} at the return port")
+def then_reset(context, ip):
+    data, address = CODEC.reset(context.data)
+    assert data == RESET, data.hex()
+    assert address == Address(ip, RETURN_PORT)
+
+
+@then("the reset of a packet that acknowledges {ack:d} has sequence {seq:d}")
+def then_reset_sequence(context, ack, seq):
+    data = pack_packet("100.64.0.7:4000", "198.18.0.1:443", ACK, ack=ack)
+    reset, _ = CODEC.reset(data)
+    assert int.from_bytes(reset[18:22], "big") == seq
+
+
+@then("for upstream {upstream_id} and tag {tag:d} it starts with {digits}")
+def then_starts(context, upstream_id, tag, digits):
+    target = upstream("1", upstream_id=upstream_id)
+    sent = CODEC.for_upstream(context.data, target, Tag(tag))
+    assert sent.hex().startswith(digits), sent.hex()
+    assert sent[12:] == context.data[4:]
+
+
+@then("the codec reads nothing from empty, short, long and miscounted datagrams")
+def then_nothing(context):
+    miscounted = OPENING[:16] + b"\x00\x05" + OPENING[18:]
+    for data in (b"", OPENING[:31], OPENING + b"x", bytes(2000), miscounted):
+        assert CODEC.decode(data) is None, data
+
+
+@then("the codec survives {count:d} random datagrams")
+def then_survives(context, count):
+    rng = random.Random(7)
+    for _ in range(count):
+        data = rng.randbytes(rng.randrange(80))
+        packet = CODEC.decode(data)
+        if packet is not None:
+            CODEC.reset(data)
+
+
+@given("a good entry in which {field} is {value}")
+def given_entry(context, field, value):
+    context.entry = entry("stock", ADDRESS)
+    if value == "missing":
+        del context.entry[field]
+    else:
+        context.entry[field] = json.loads(value)
+
+
+def is_unreadable(data):
+    try:
+        decode_upstream("i-7f", data)
+    except EntryError:
+        return True
+    return False
+
+
+@then("the entry is unreadable and the next one is read")
+def then_unreadable(context):
+    assert is_unreadable(json.dumps(context.entry).encode())
+    assert not is_unreadable(json.dumps(entry("stock", ADDRESS)).encode())
+
+
+@then("entries of no bytes, no JSON, a list and deep nesting are unreadable")
+def then_all_unreadable(context):
+    for data in (b"", b"\xff\xfe{", b"[]", b"[" * 100_000):
+        assert is_unreadable(data), data[:20]
+
+
+@then("a route to {address} is read with services stock 90 and sheet 10")
+def then_route(context, address):
+    split = [{"service": "stock", "weight": 90}, {"service": "sheet", "weight": 10}]
+    made = route("198.18.0.1", 8443, "unused", traffic_split=split)
+    config = decode_config(json.dumps(configuration(7, made)).encode())
+    (found,) = config.routes
+    ip, port = found.service_address[:4], found.service_address[4:]
+    assert f"{'.'.join(map(str, ip))}:{int.from_bytes(port, 'big')}" == address
+    assert found.services == (("stock", 90.0), ("sheet", 10.0))
+    assert (config.version, config.idle_timeout_ms) == (7, 15000)
+
+
+@then("configurations without version, with a bad address or a bad port are unreadable")
+def then_bad_configs(context):
+    bad_version = configuration(7)
+    del bad_version["version"]
+    for config in (
+        bad_version,
+        configuration(7, route("nowhere", 8443, "stock")),
+        configuration(7, route("198.18.0.1", 70000, "stock")),
+    ):
+        try:
+            decode_config(json.dumps(config).encode())
+        except EntryError:
+            continue
+        raise AssertionError(config)
+
+
+@given("settings in which {field} is {value}")
+def given_settings(context, field, value):
+    changes = {field.replace(".", "__"): None if value == "missing" else value}
+    context.settings = settings_text("10.1.0.10", "10.200.1.7:8169", **changes)
+
+
+@then('reading the settings fails with "{message}"')
+def then_settings(context, message):
+    try:
+        decode_settings(parse_fields(context.settings), "boot.conf")
+    except SettingsFileError as error:
+        assert str(error).startswith(f"boot.conf: {message}"), error
+    else:
+        raise AssertionError("the settings were read")
+
+
+@given("a stand-in store with {count:d} entries and {unreadable:d} unreadable one")
+def given_store(context, count, unreadable):
+    context.store = StandInStore("127.0.0.1")
+    context.add_cleanup(context.store.close)
+    context.store.put("op/config", configuration(1, route("198.18.0.1", 443, "stock")))
+    for number in range(count):
+        context.store.put(f"servers/i-{number + 1:x}", entry("stock", ADDRESS))
+    for number in range(unreadable):
+        context.store.put(f"servers/i-bad{number}", b"\x00")
+    make_client(context, Address.parse(context.store.address))
+
+
+@given("no store at the address")
+def given_no_store(context):
+    make_client(context, Address("127.0.0.1", 1))
+
+
+def make_client(context, address):
+    context.loop = EventLoop()
+    context.client = PlatformStore(context.loop, steering_settings(store=address))
+
+
+@when("the stand-in store is {mode}")
+def when_mode(context, mode):
+    context.store.mode = StoreMode(mode)
+
+
+def call(context, start):
+    """Run the loop until a call of the client is answered."""
+    answers = []
+    started_s = time.monotonic()
+    start(answers.append)
+    while not answers and time.monotonic() - started_s < 10.0:
+        context.loop.run_once()
+    context.waited_s = time.monotonic() - started_s
+    (answer,) = answers
+    return answer
+
+
+@when("the store client lists the upstreams")
+def when_lists(context):
+    context.answer = call(context, context.client.list_upstreams)
+
+
+@then("the listing names {count:d} upstreams and {unreadable:d} unreadable")
+def then_listing(context, count, unreadable):
+    assert len(context.answer.upstreams) == count
+    assert len(context.answer.unreadable) == unreadable
+
+
+@then("the client reports that the store is {reason} within {limit_s:g} seconds")
+def then_failure(context, reason, limit_s):
+    assert context.answer.reason.value == reason, context.answer
+    assert context.waited_s <= limit_s, context.waited_s
+
+
+@then("a watch of 100 ms finds nothing, then a change, then that history is lost")
+def then_watch(context):
+    def watch(after):
+        return call(context, lambda done: context.client.watch_config(after, 0.1, done))
+
+    first = call(context, context.client.read_config)
+    assert isinstance(first, ConfigRead), first
+    assert isinstance(watch(first.revision), ConfigUnchanged)
+    context.store.put("op/config", configuration(2, route("198.18.0.1", 443, "stock")))
+    changed = watch(first.revision)
+    assert changed.config.version == 2, changed
+    context.store.history_from = 10_000
+    assert isinstance(watch(first.revision), HistoryLost)
