--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -155,7 +155,7 @@
             self._follow_first()
             return
         self._registry.add(peer, now_s)
-        self._learn(peer, snapshot)
+        self._learn(peer, snapshot, snapshot.steady_s)
         if self.source is Source.STORE:
             self.source = Source.PEER
             for follower in self._followers:
@@ -168,7 +168,9 @@
             self._registry.avoid(peer.address, now_s)
             return
         self._registry.add(peer, now_s)
-        self._learn(peer, snapshot)
+        # What keeps this host from the store may keep upstreams near it from it too,
+        # so that their entries lapse although they serve.
+        self._learn(peer, snapshot, self._state.directory.steady_s(now_s))
 
     def _read_store(self, reason: str) -> None:
         if self.source is Source.PEER:
@@ -177,14 +179,14 @@
                 follower.resume()
             self._changed_source(self.source, reason)
 
-    def _learn(self, peer: Peer, snapshot: Snapshot) -> None:
+    def _learn(self, peer: Peer, snapshot: Snapshot, steady_s: float) -> None:
         self._registry.add_all(
             (Peer(address, zone) for address, zone in snapshot.peers),
             self._scheduler.now_s(),
         )
         source = f"peer {peer.address}"
         self._learn_config(snapshot, source)
-        self._learn_listing(snapshot, source)
+        self._learn_listing(snapshot, steady_s, source)
 
     def _learn_config(self, snapshot: Snapshot, source: str) -> None:
         view = self._state.view
@@ -199,7 +201,7 @@
         if view.version == snapshot.config_version and is_newer:
             view.confirm(confirmed_at_s)
 
-    def _learn_listing(self, snapshot: Snapshot, source: str) -> None:
+    def _learn_listing(self, snapshot: Snapshot, steady_s: float, source: str) -> None:
         directory = self._state.directory
         age_s = snapshot.listing_age_s
         if age_s is None or age_s > MAX_HELP_AGE_S:
@@ -207,8 +209,8 @@
         now_s = self._scheduler.now_s()
         changes = None
         if snapshot.listing is not None:
-            changes = directory.apply(snapshot.listing, now_s, snapshot.steady_s, age_s)
+            changes = directory.apply(snapshot.listing, now_s, steady_s, age_s)
         elif directory.revision == snapshot.directory_revision:
-            changes = directory.confirm(now_s, snapshot.steady_s, age_s)
+            changes = directory.confirm(now_s, steady_s, age_s)
         if changes:
             self._observer.directory_applied(changes, source)
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -26,7 +26,7 @@
 )
 from .routes import ConfigView, Route
 from .settings import SteeringSettings
-from .upstreams import NO_TAG
+from .upstreams import NO_TAG, UpstreamState
 
 # Clients repeat after 200 ms; packets that change places on the way are closer.
 MIN_REPEAT_S = 0.15
@@ -189,14 +189,26 @@
         if entry is None:
             self._observer.tag_unknown()
             return Discard(DiscardReason.UNKNOWN_TAG)
-        if entry.presence is Presence.GONE:
+        self._note(packet, entry, now_s)
+        if entry.presence is Presence.GONE and self._is_over(packet, entry, now_s):
             self.flows.remove(packet.flow)
             if packet.kind is PacketKind.ABORTING:
                 return Discard(DiscardReason.NO_STATE)
             return Refuse(RefusalReason.UPSTREAM_GONE)
-        self._note(packet, entry, now_s)
         return Forward(entry.upstream, packet.tag)
 
+    def _is_over(self, packet: Packet, entry: DirectoryEntry, now_s: float) -> bool:
+        """Whether a flow of a gone upstream gets no answer any more.
+
+        An upstream that drained has ended. The entry of another one may have lapsed
+        because the upstream does not reach the store; its flows go on until one of
+        their packets is repeated.
+        """
+        if entry.upstream.state is UpstreamState.DRAINING:
+            return True
+        flow = self.flows.get(packet.flow, now_s)
+        return flow is not None and flow.repeats > 0
+
     def _note(self, packet: Packet, entry: DirectoryEntry, now_s: float) -> None:
         """Take what a packet of an open flow says about the flow and its upstream."""
         upstream_id = entry.upstream.upstream_id
--- a/tests/readsharing.feature
+++ b/tests/readsharing.feature
@@ -69,3 +69,12 @@
     When 20 seconds of sharing pass
     And a host with configuration 3 follows a reader with configuration 1
     Then that host still runs configuration 3
+
+  Scenario: Entries of a zone that was cut off may come back after the cut
+    # Pattern: a zone is cut off from the store; its upstreams' entries lapse although
+    # they serve. Guards against a host that hears of this from a peer of another zone
+    # and takes the upstreams of its own zone for gone.
+    When 20 seconds of sharing pass
+    And the store is out of reach for the first zone
+    And the entry of an upstream lapses and 3 seconds pass
+    Then the hosts of the first zone hold the upstream for uncertain
--- a/tests/steering.feature
+++ b/tests/steering.feature
@@ -64,9 +64,27 @@
     # Guards against clients that repeat into silence.
     Given steering with 3 upstreams
     And 1 open flows
-    When the upstream of the first flow leaves
+    When the upstream of the first flow starts to drain
+    And the upstream of the first flow leaves
     Then the next packet of the first flow is refused because of upstream_gone
 
+  Scenario: An upstream whose entry lapses keeps the flows that it answers
+    # Guards against resets of flows whose upstream lives and cannot reach the store, as
+    # after a cut of its zone.
+    Given steering with 3 upstreams
+    And 1 open flows
+    When the upstream of the first flow leaves
+    Then the first flow goes on at its upstream
+    And none of 200 new flows goes to that upstream
+
+  Scenario: A flow of a lapsed upstream that does not answer is refused
+    # Guards against clients that repeat into silence.
+    Given steering with 3 upstreams
+    And 1 open flows
+    When the upstream of the first flow leaves
+    Then the first flow goes on at its upstream
+    And the same packet is refused when it is repeated
+
   Scenario: A packet with an unknown tag is not answered and asks for a listing
     # Guards against a reset of a flow whose upstream this host does not know yet.
     Given steering with 3 upstreams
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -85,6 +85,25 @@
                 context.fleet.cut(host, other)
 
 
+@when("the store is out of reach for the first zone")
+def when_zone_lost(context):
+    context.zone = [host for host in context.fleet.hosts if host.settings.zone == "a"]
+    context.fleet.store.refuses = {host.name for host in context.zone}
+    context.scheduler.run_for(1.0)
+
+
+@when("the entry of an upstream lapses and {duration_s:g} seconds pass")
+def when_lapses(context, duration_s):
+    context.fleet.store.put_upstreams(upstream("2", zone="b"))
+    context.scheduler.run_for(duration_s)
+
+
+@then("the hosts of the first zone hold the upstream for uncertain")
+def then_uncertain(context):
+    found = {host.directory.get("i-1").presence.value for host in context.zone}
+    assert found == {"uncertain"}, found
+
+
 @when("the store is silent for all")
 def when_all_silent(context):
     context.fleet.store.silent_for = {f"host-{number}" for number in range(1, 20)}
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -122,6 +122,13 @@
     assert decision.upstream.upstream_id == context.homes[0].upstream_id
 
 
+@then("the same packet is refused when it is repeated")
+def then_repeat_refused(context):
+    context.world.now_s += 0.2
+    decision = next_of_first(context)
+    assert isinstance(decision, Refuse), decision
+
+
 @then("the next packet of the first flow is refused because of {reason}")
 def then_next_refused(context, reason):
     decision = next_of_first(context)
