--- /dev/null
+++ b/tests/hostprocess.feature
@@ -0,0 +1,39 @@
+Feature: The process of a host on the platform
+  A real process with real sockets, before a stand-in of the store.
+
+  Scenario: A host starts, steers and stops
+    # Guards against parts that work alone and not together.
+    Given a stand-in store and a host process
+    When the host is ready
+    Then an opening packet reaches the upstream with its number and a tag
+    And a packet with that tag reaches the upstream
+    And a packet without a route is answered with a reset
+    And the metrics page counts 2 forwarded packets
+    And the status page shows 1 upstream and configuration 1
+    When the host gets SIGHUP
+    Then the log has a line settings_reloaded
+    When the host gets SIGTERM
+    Then it is not ready
+    And a packet with that tag reaches the upstream
+    And it ends with status 0 within 4 seconds
+    And the log has a line host_stopped
+
+  Scenario: A host whose settings are unusable says why and ends
+    # Guards against a host that starts with half of its settings.
+    Given a stand-in store and a host process without a zone
+    Then it ends with status 2 within 3 seconds
+    And its error output is one line that names zone
+
+  Scenario: A host goes on without the store
+    # Guards against steering that waits for the store.
+    Given a stand-in store and a host process
+    When the host is ready
+    And the stand-in store falls silent for 3 seconds
+    Then an opening packet reaches the upstream with its number and a tag
+    And the log has a line store_lost
+
+  Scenario: A host that nobody reads the log of is not held up
+    # Guards against a full pipe that blocks the process.
+    Given a stand-in store and a host process whose log nobody reads
+    When the host is ready
+    Then 3000 opening packets reach the upstream, some without a log line
--- /dev/null
+++ b/tests/steps/hostprocess_steps.py
@@ -0,0 +1,228 @@
+"""Steps for a real host process on loopback addresses."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+from behave import given, then, when
+
+from testbed.platformstandin import (
+    ACK,
+    HEADER,
+    RST,
+    SYN,
+    StandInStore,
+    StoreMode,
+    configuration,
+    entry,
+    pack_packet,
+    route,
+    settings_text,
+)
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+SERVICE = "198.18.0.1:443"
+START_TIMEOUT_S = 20.0
+
+
+class HostUnderTest:
+    """A host process with its store, one upstream and a client's socket."""
+
+    def __init__(self, directory, reads_log=True, **changes):
+        net = f"127.{random.randrange(20, 120)}.{random.randrange(256)}"
+        self.ip = f"{net}.10"
+        self.client_ip = f"{net}.200"
+        self.store = StandInStore(self.ip)
+        self.upstream = bound(self.ip, 0)
+        # Resets go to the client's IP at the port of the data address.
+        self.client = bound(self.client_ip, 8172)
+        port = self.upstream.getsockname()[1]
+        self.store.put("op/config", configuration(1, route("198.18.0.1", 443, "stock")))
+        self.store.put("servers/i-7f3a91c2", entry("stock", f"{self.ip}:{port}"))
+        settings = Path(directory) / "boot.conf"
+        settings.write_text(settings_text(self.ip, self.store.address, **changes))
+        self.log_path = Path(directory) / "log"
+        self.error_path = Path(directory) / "errors"
+        self.reads_log = reads_log
+        self.process = subprocess.Popen(
+            [sys.executable, str(ROOT / "deploy" / "host.py")],
+            cwd=ROOT,
+            env={**os.environ, "WISTERIATILLER_CONFIG": str(settings)},
+            stdout=self.log_path.open("wb") if reads_log else subprocess.PIPE,
+            stderr=self.error_path.open("wb"),
+        )
+        self.data = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+    def close(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.store.close()
+        for one in (self.upstream, self.client, self.data):
+            one.close()
+        if self.process.stdout:
+            self.process.stdout.close()
+
+    def send(self, packet):
+        self.data.sendto(packet, (self.ip, 8172))
+
+    def page(self, port, path):
+        """The status and body of a page; 0 while nobody listens."""
+        url = f"http://{self.ip}:{port}{path}"
+        try:
+            with urllib.request.urlopen(url, timeout=5) as response:
+                return response.status, response.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.code, ""
+        except OSError:
+            return 0, ""
+
+    def wait_ready(self, wanted):
+        end_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end_s:
+            if self.page(8167, "/ready")[0] == wanted:
+                return
+            time.sleep(0.05)
+        raise AssertionError(f"no answer {wanted}: {self.error_path.read_text()}")
+
+
+def bound(ip, port):
+    made = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    made.bind((ip, port))
+    made.settimeout(5.0)
+    return made
+
+
+def start(context, **options):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.host = HostUnderTest(directory.name, **options)
+    context.add_cleanup(context.host.close)
+    context.client_port = 40_000
+
+
+@given("a stand-in store and a host process")
+def given_host(context):
+    start(context)
+
+
+@given("a stand-in store and a host process without a zone")
+def given_no_zone(context):
+    start(context, zone=None)
+
+
+@given("a stand-in store and a host process whose log nobody reads")
+def given_no_reader(context):
+    start(context, reads_log=False)
+
+
+@when("the host is ready")
+def when_ready(context):
+    context.host.wait_ready(200)
+
+
+@when("the stand-in store falls silent for {duration_s:d} seconds")
+def when_silent(context, duration_s):
+    context.host.store.mode = StoreMode.SILENT
+    time.sleep(duration_s)
+
+
+@when("the host gets {name}")
+def when_signal(context, name):
+    context.host.process.send_signal(signal.Signals[name])
+
+
+def client(context):
+    return f"{context.host.client_ip}:{context.client_port}"
+
+
+@then("an opening packet reaches the upstream with its number and a tag")
+def then_opening(context):
+    context.client_port += 1
+    packet = pack_packet(client(context), SERVICE, SYN, seq=77)
+    context.host.send(packet)
+    received = context.host.upstream.recv(2000)
+    assert received[:8].hex() == "000000007f3a91c2", received.hex()
+    assert received[12:] == packet[4:]
+    context.tag = int.from_bytes(received[8:12], "big")
+    assert context.tag != 0
+
+
+@then("a packet with that tag reaches the upstream")
+def then_tagged(context):
+    packet = pack_packet(
+        client(context), SERVICE, ACK, echo=context.tag, seq=78, ack=5, data=b"hello"
+    )
+    context.host.send(packet)
+    assert context.host.upstream.recv(2000)[8:] == packet
+
+
+@then("a packet without a route is answered with a reset")
+def then_reset(context):
+    context.host.send(pack_packet(client(context), "198.18.0.9:443", SYN, seq=1))
+    fields = HEADER.unpack(context.host.client.recv(2000))
+    assert fields[8] == RST, fields
+    assert fields[2] == 443, fields
+
+
+@then("the metrics page counts {count:d} forwarded packets")
+def then_metrics(context, count):
+    status, body = context.host.page(9464, "/metrics")
+    assert status == 200
+    assert f"wisteriatiller_packets_forwarded_total {count}" in body, body
+    assert 'wisteriatiller_store_list_upstreams_ms_bucket{le="+Inf"}' in body, body
+
+
+@then("the status page shows {count:d} upstream and configuration {version:d}")
+def then_status(context, count, version):
+    status = json.loads(context.host.page(9464, "/status")[1])
+    assert len(status["upstreams"]) == count, status
+    assert status["config"]["version"] == version, status
+
+
+@then("the log has a line {event}")
+def then_line(context, event):
+    end_s = time.monotonic() + 5.0
+    while time.monotonic() < end_s:
+        if f"event={event} " in context.host.log_path.read_text():
+            return
+        time.sleep(0.05)
+    raise AssertionError(context.host.log_path.read_text())
+
+
+@then("it is not ready")
+def then_not_ready(context):
+    context.host.wait_ready(503)
+
+
+@then("it ends with status {status:d} within {limit_s:d} seconds")
+def then_ends(context, status, limit_s):
+    # Bounds of this program count from its start; a busy machine is given more.
+    found = context.host.process.wait(timeout=limit_s + START_TIMEOUT_S)
+    assert found == status, (found, context.host.error_path.read_text())
+
+
+@then("its error output is one line that names {field}")
+def then_error(context, field):
+    lines = context.host.error_path.read_text().splitlines()
+    assert len(lines) == 1, lines
+    assert f"{field}: missing" in lines[0], lines
+
+
+@then("{count:d} opening packets reach the upstream, some without a log line")
+def then_flood(context, count):
+    for number in range(count):
+        source = f"100.64.{number >> 8}.{number & 255}:4000"
+        context.host.send(pack_packet(source, SERVICE, SYN, seq=number))
+        assert context.host.upstream.recv(2000)
+    _, body = context.host.page(9464, "/metrics")
+    assert "wisteriatiller_log_lines_left_out 0\n" not in body, body
