--- a/src/wisteriatiller/steering/followers.py
+++ b/src/wisteriatiller/steering/followers.py
@@ -21,6 +21,8 @@
 from .upstreams import Listing
 
 MAX_RETRY_S = 1.0
+# One failure may be a connection that the store has closed.
+LOST_FAILURES = 2
 # A host that has just begun to read may find another one that reads for it, and then
 # needs no watch.
 FIRST_WATCH_PAUSE_S = 0.8
@@ -54,6 +56,9 @@
         self._first_s = first_s
         self.failures = 0
 
+    def is_lost(self) -> bool:
+        return self.failures >= LOST_FAILURES
+
     def succeeded(self) -> None:
         self.failures = 0
 
@@ -100,7 +105,7 @@
         self._retry.succeeded()
 
     def is_lost(self) -> bool:
-        return self._retry.failures > 0
+        return self._retry.is_lost()
 
     def _ask(self) -> None:
         if not self._is_active or self._is_asking:
@@ -193,7 +198,7 @@
             self._timer.cancel()
 
     def is_lost(self) -> bool:
-        return self._retry.failures > 0
+        return self._retry.is_lost()
 
     def hurry(self) -> None:
         """Read now, unless a read is under way or has just been made."""
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -5,7 +5,7 @@
 
 from .directory import Change, DirectoryEntry, UpstreamDirectory
 from .flowtable import Flow
-from .followers import FollowerObserver
+from .followers import LOST_FAILURES, FollowerObserver
 from .packets import Discard, Packet, Refuse, flow_text
 from .ports import ConfigInvalid, StoreFailure
 from .routes import ConfigView, Route
@@ -14,8 +14,6 @@
 
 # A flow that opens within this time has lost no packet on the way.
 SLOW_OPENING_S = 0.15
-# A follower reports the store as lost after this many failures in a row.
-LOST_FAILURES = 2
 
 
 class Reporter(SteeringObserver, FollowerObserver):
--- a/tests/readsharing.feature
+++ b/tests/readsharing.feature
@@ -92,3 +92,9 @@
     When 20 seconds of sharing pass
     And the readers stop
     Then the hosts make at most 30 calls in the next 3 seconds
+
+  Scenario: A watch that the store cuts once sends no other host to the store
+    # Pattern: the store forgets its history and cuts the watches.
+    When 20 seconds of sharing pass
+    And one call of each reader fails
+    Then the hosts make at most 30 calls in the next 3 seconds
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -84,6 +84,18 @@
         host.is_stopped = True
 
 
+@when("one call of each reader fails")
+def when_one_fails(context):
+    refused = {host.name for host in readers(context)}
+    before = {host.name: host.observer.failures for host in context.fleet.hosts}
+    for host in readers(context):
+        context.fleet.store.refuses = refused
+        while host.observer.failures == before[host.name]:
+            context.scheduler.run_for(0.01)
+        refused.discard(host.name)
+    context.fleet.store.refuses = set()
+
+
 @when("the first zone is cut off from the other hosts")
 def when_cut(context):
     for host in context.fleet.hosts:
