--- a/src/wisteriatiller/platform/entries.py
+++ b/src/wisteriatiller/platform/entries.py
@@ -46,7 +46,7 @@
         zone=ZoneId(_typed(entry, "zone", str)),
         slots=slots,
         state=state,
-        warmup_left_ms=int(_typed(entry, "warmup_left_ms", (int, float))),
+        cold_for_ms=int(_typed(entry, "warmup_left_ms", (int, float))),
         started_ms=started_ms,
     )
 
--- a/src/wisteriatiller/platform/process.py
+++ b/src/wisteriatiller/platform/process.py
@@ -1,8 +1,10 @@
 """The process of a host on the users' platform."""
 
+import os
 import signal
 import socket
 import sys
+from collections.abc import Callable
 
 from wisteriatiller.network import EventLoop
 from wisteriatiller.steering import SteeringHost
@@ -14,6 +16,7 @@
 from .store import PlatformStore
 
 EXIT_BAD_SETTINGS = 2
+SETTINGS_CHECK_S = 5.0
 
 
 def run(bound: socket.socket | None = None) -> int:
@@ -42,6 +45,31 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.on_signal(number, lambda: host.stop(loop.stop))
     loop.on_signal(signal.SIGHUP, reload)
+    watch_file(loop, path, reload)
     host.start()
     loop.run()
     return 0
+
+
+def watch_file(loop: EventLoop, path: str, changed: Callable[[], None]) -> None:
+    """Call back after a change of a file that nobody signals."""
+    known = _version(path)
+
+    def check() -> None:
+        nonlocal known
+        version = _version(path)
+        if version != known:
+            known = version
+            changed()
+        loop.call_later(SETTINGS_CHECK_S, check)
+
+    loop.call_later(SETTINGS_CHECK_S, check)
+
+
+def _version(path: str) -> tuple[int, int] | None:
+    try:
+        status = os.stat(path)
+    except OSError:
+        # The file is being replaced; the next check sees the new one.
+        return None
+    return status.st_mtime_ns, status.st_size
--- a/src/wisteriatiller/steering/choice.py
+++ b/src/wisteriatiller/steering/choice.py
@@ -189,7 +189,7 @@
         """The part of an even share that an upstream may take; infinite if warm."""
         ramp = self._of(entry).ramp(now_s)
         listed_ms = 1000.0 * (now_s - entry.since_s)
-        if entry.upstream.warmup_left_ms > listed_ms:
+        if entry.upstream.cold_for_ms > listed_ms:
             return min(ramp, COLD_SHARE)
         return ramp if ramp < 1.0 else math.inf
 
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -6,40 +6,24 @@
 from enum import Enum
 
 from wisteriatiller.exceptions import MessageError
-from wisteriatiller.ids import Address
-from wisteriatiller.network import (
-    EventLoop,
-    HttpConnection,
-    HttpRequest,
-    HttpResponse,
-    HttpResult,
-    HttpServer,
-    Page,
-)
+from wisteriatiller.network import EventLoop, HttpServer, Page
 from wisteriatiller.telemetry import Counters, EventLog
 
 from .datapath import DataPath, bind_data_socket
 from .directory import UpstreamDirectory
 from .followers import ConfigFollower, DirectoryFollower, FollowerObserver
-from .peers import UNKNOWN_ZONE, Peer, PeerLink, PeerRegistry
+from .peerlink import SNAPSHOT_PATH, HttpPeerLink
+from .peers import UNKNOWN_ZONE, Peer, PeerRegistry
 from .ports import PacketCodec, StoreReader
 from .reporting import Reporter
 from .routes import ConfigView
 from .settings import SteeringSettings
 from .sharing import ReadSharing, SharedState
-from .snapshots import (
-    MAX_SNAPSHOT_BYTES,
-    Snapshot,
-    decode_request,
-    decode_snapshot,
-    encode_request,
-    encode_snapshot,
-)
+from .snapshots import decode_request, encode_snapshot
 from .status import steering_status
 from .steering import FlowSteering
 
 READY_PATH = "/ready"
-SNAPSHOT_PATH = "/snapshot"
 STATUS_PATH = "/status"
 METRICS_PATH = "/metrics"
 EXPIRY_INTERVAL_S = 1.0
@@ -53,46 +37,6 @@
     STOPPING = "stopping"
 
 
-class HttpPeerLink(PeerLink):
-    """Fetches snapshots from the control addresses of other hosts."""
-
-    def __init__(self, loop: EventLoop, settings: SteeringSettings, log: EventLog):
-        self._loop = loop
-        self._settings = settings
-        self._log = log
-        self._connections: dict[Address, HttpConnection] = {}
-
-    def ask(self, peer, request, done):
-        connection = self._connections.get(peer)
-        if connection is None:
-            connection = HttpConnection(self._loop, peer, MAX_SNAPSHOT_BYTES)
-            self._connections[peer] = connection
-        target = f"{SNAPSHOT_PATH}?{encode_request(request)}"
-        connection.request(
-            HttpRequest("GET", target, self._settings.peer_timeout_s),
-            lambda result: done(self._decode(peer, result)),
-        )
-
-    def _decode(self, peer: Address, result: HttpResult) -> Snapshot | None:
-        if not isinstance(result, HttpResponse) or result.status != 200:
-            self._drop(peer)
-            return None
-        self._keep_newest(peer)
-        try:
-            return decode_snapshot(result.body)
-        except MessageError as error:
-            self._log.event("snapshot_unreadable", peer=peer, detail=error)
-            return None
-
-    def _keep_newest(self, peer: Address) -> None:
-        """Keep the connection to the last host that answered, and close others."""
-        for other in [other for other in self._connections if other != peer]:
-            self._drop(other)
-
-    def _drop(self, peer: Address) -> None:
-        self._connections.pop(peer).close()
-
-
 class _BeliefObserver(FollowerObserver):
     """Passes new knowledge on to steering, then to the reporter."""
 
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -14,6 +14,8 @@
 
 # A flow that opens within this time has lost no packet on the way.
 SLOW_OPENING_S = 0.15
+# A first listing may name thousands of upstreams.
+MAX_CHANGE_LINES = 40
 
 
 class Reporter(SteeringObserver, FollowerObserver):
@@ -101,6 +103,7 @@
     def directory_applied(self, changes: list[Change], source: str) -> None:
         for change in changes:
             self._counters.count("upstreams_changed", change.presence.value)
+        for change in changes[:MAX_CHANGE_LINES]:
             self._log.event(
                 "upstream_changed",
                 upstream=change.upstream.upstream_id,
@@ -109,7 +112,15 @@
                 zone=change.upstream.zone,
                 presence=change.presence.value,
                 state=change.upstream.state.value,
-                warmup_left_ms=change.upstream.warmup_left_ms,
+                cold_for_ms=change.upstream.cold_for_ms,
+                revision=self._directory.revision,
+                source=source,
+            )
+        if len(changes) > MAX_CHANGE_LINES:
+            self._log.event(
+                "upstreams_changed",
+                count=len(changes),
+                lines_left_out=len(changes) - MAX_CHANGE_LINES,
                 revision=self._directory.revision,
                 source=source,
             )
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -168,7 +168,7 @@
 
 
 def _decode_upstream(
-    upstream_id, service, address, zone, slots, state, warmup_left_ms, started_ms
+    upstream_id, service, address, zone, slots, state, cold_for_ms, started_ms
 ) -> Upstream:
     ip, port = address
     return Upstream(
@@ -178,6 +178,6 @@
         zone=ZoneId(str(zone)),
         slots=int(slots),
         state=UpstreamState(state),
-        warmup_left_ms=int(warmup_left_ms),
+        cold_for_ms=int(cold_for_ms),
         started_ms=int(started_ms),
     )
--- a/src/wisteriatiller/steering/upstreams.py
+++ b/src/wisteriatiller/steering/upstreams.py
@@ -22,7 +22,8 @@
 class Upstream(NamedTuple):
     """One listed upstream.
 
-    ``started_ms`` tells two lifetimes of one id apart.
+    ``started_ms`` tells two lifetimes of one id apart, and ``cold_for_ms`` is how long
+    the upstream goes on working slowly after its start.
     """
 
     upstream_id: UpstreamId
@@ -31,7 +32,7 @@
     zone: ZoneId
     slots: int
     state: UpstreamState
-    warmup_left_ms: int
+    cold_for_ms: int
     started_ms: int
 
 
--- a/tests/hostprocess.feature
+++ b/tests/hostprocess.feature
@@ -32,6 +32,13 @@
     Then an opening packet reaches the upstream with its number and a tag
     And the log has a line store_lost
 
+  Scenario: A settings file that changes without a signal is read again
+    # Guards against a host that keeps an address of the store that is no more.
+    Given a stand-in store and a host process
+    When the host is ready
+    And the settings file names another seed and 6 seconds pass
+    Then the log has a line settings_reloaded changed=seeds
+
   Scenario: A host that nobody reads the log of is not held up
     # Guards against a full pipe that blocks the process.
     Given a stand-in store and a host process whose log nobody reads
