Let only a host that reads the store be fresh for others

Cause: followers of followers add up intervals: a current listing each 1.7 s at most, and 0.6 s for each host on the way, come to 2.9 s of the 3 s that a drain may take. The stop of a reader still costs at most 30 calls in the test.

--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -210,7 +210,7 @@
         except MessageError as error:
             return Page(400, str(error).encode())
         snapshot = self._shared.snapshot(
-            request, self.sharing.is_store_lost(), self._loop.now_s()
+            request, self.sharing.is_reading(), self._loop.now_s()
         )
         self._counters.count("snapshots_given")
         return Page(200, encode_snapshot(snapshot), "application/msgpack")
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -52,13 +52,12 @@
         )
 
     def snapshot(
-        self, request: SnapshotRequest, is_store_lost: bool, now_s: float
+        self, request: SnapshotRequest, is_reading: bool, now_s: float
     ) -> Snapshot:
         """What is newer than the request; its sender becomes known by asking.
 
-        A host that follows a reader is fresh too, for as long as the age of its
-        listing shows it: when the reader dies, the next host takes its place while
-        the others ask that one.
+        Only a host that reads the store is fresh. A chain of hosts would add the
+        interval of each to the time that a drain takes to be seen.
         """
         self.registry.add(Peer(request.address, request.zone), now_s)
         view, directory = self.view, self.directory
@@ -73,7 +72,7 @@
             listing=directory.listing if has_newer_listing else None,
             listing_age_s=listing_age_s,
             steady_s=directory.steady_s(now_s),
-            is_fresh=not is_store_lost and _is_recent(listing_age_s),
+            is_fresh=is_reading and _is_recent(listing_age_s),
             peers=self._peers() if request.wants_peers else (),
         )
 
@@ -117,8 +116,11 @@
             follower.resume()
         self._tick()
 
-    def is_store_lost(self) -> bool:
-        """Whether this host reads the store and gets no answers."""
+    def is_reading(self) -> bool:
+        """Whether this host reads the store itself and gets answers."""
+        return self.source is Source.STORE and not self._is_store_lost()
+
+    def _is_store_lost(self) -> bool:
         return any(follower.is_lost() for follower in self._followers)
 
     def _tick(self) -> None:
@@ -134,7 +136,7 @@
             self._ask(readers[0], self._take_from_reader)
             return
         self._read_store("no peer reads")
-        needs_help = self.is_store_lost() or self._state.directory.listing is None
+        needs_help = self._is_store_lost() or self._state.directory.listing is None
         is_due = now_s - self._introduced_at_s >= INTRODUCTION_INTERVAL_S
         helpers = self._registry.helpers(now_s)
         if helpers and (needs_help or is_due):
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -174,7 +174,7 @@
         def answer():
             received = decode_request(encode_request(request))
             snapshot = host.state.snapshot(
-                received, host.sharing.is_store_lost(), fleet.scheduler.now_s()
+                received, host.sharing.is_reading(), fleet.scheduler.now_s()
             )
             done(decode_snapshot(encode_snapshot(snapshot)))
 
