--- a/src/wisteriatiller/steering/choice.py
+++ b/src/wisteriatiller/steering/choice.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from abc import ABC, abstractmethod
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
@@ -83,7 +84,25 @@
     return [*entries[start:end], *entries[: max(0, end - len(entries))]]
 
 
-class UpstreamChooser:
+class FlowChooser(ABC):
+    """Names the upstream of a new flow."""
+
+    @abstractmethod
+    def choose(
+        self,
+        entries: Sequence[DirectoryEntry],
+        flow: FlowKey,
+        excluded: Collection[UpstreamId],
+        now_s: float,
+    ) -> Choice | None:
+        """The best entry for a new flow; None if there is no entry at all.
+
+        ``excluded`` names upstreams that this flow has tried. They are chosen only if
+        nothing else is left.
+        """
+
+
+class UpstreamChooser(FlowChooser):
     """Chooses among the entries of a service.
 
     New flows stay in the host's zone, where no cut between zones reaches them, until
@@ -111,12 +130,8 @@
         excluded: Collection[UpstreamId],
         now_s: float,
     ) -> Choice | None:
-        """The best entry for a new flow; None if there is no entry at all.
-
-        ``excluded`` names upstreams that this flow has tried. They, and suspects,
-        are chosen only if nothing else is left: one host's bad path must not take a
-        whole service away.
-        """
+        # Tried ones and suspects are chosen if nothing else is left: one host's bad
+        # path must not take a whole service away.
         if not entries:
             return None
         group = self._group(entries)
@@ -125,12 +140,13 @@
             entry for entry in sampled if entry.upstream.upstream_id not in excluded
         ]
         pool = untried or sampled
-        trial = self._due_trial(pool, excluded, now_s)
+        is_wave = self._is_wave(group, now_s)
+        trial = self._due_trial(pool, excluded, is_wave, now_s)
         if trial is not None:
             return Choice(trial, len(pool), True)
         trusted = [entry for entry in pool if self._is_trusted(entry)] or pool
         trusted = self._without_ramping(trusted, flow, now_s) or trusted
-        remote_weight = self._remote_weight_now(group, now_s)
+        remote_weight = 1.0 if is_wave else self._remote_weight
         best = min(trusted, key=lambda entry: self._cost(entry, flow, remote_weight))
         return Choice(best, len(trusted), False)
 
@@ -142,31 +158,35 @@
             group = self._groups[service] = ServiceGroup(entries, self._zone)
         return group
 
-    def _remote_weight_now(self, group: ServiceGroup, now_s: float) -> float:
-        """Count a new flow of a service; in a wave all zones weigh the same."""
+    def _is_wave(self, group: ServiceGroup, now_s: float) -> bool:
+        """Count a new flow; True if there are more of them than the zone can take."""
         service = group.entries[0].upstream.service
         rate = self._rates.setdefault(service, OpeningRate())
         rate.add(now_s)
         limit = BURST_FLOWS_PER_SLOT * group.local_slots + BURST_FLOWS_BY_CHANCE
-        return 1.0 if rate.value(now_s) > limit else self._remote_weight
+        return rate.value(now_s) > limit
 
     def _due_trial(
         self,
         pool: Sequence[DirectoryEntry],
         excluded: Collection[UpstreamId],
+        is_wave: bool,
         now_s: float,
     ) -> DirectoryEntry | None:
         """A suspect that is due for one new flow.
 
-        A flow that has lost time at one upstream already is no trial for another, and
-        another zone is tried only if the own one has no upstream.
+        A flow that has lost time at one upstream already is no trial for another.
         """
         if excluded:
             return None
-        local = [entry for entry in pool if entry.upstream.zone == self._zone]
-        for entry in local or pool:
+        has_local = any(entry.upstream.zone == self._zone for entry in pool)
+        for entry in pool:
             evidence = self._of(entry)
-            if evidence.verdict is Verdict.SUSPECT and evidence.is_due(now_s):
+            if evidence.verdict is not Verdict.SUSPECT or not evidence.is_due(now_s):
+                continue
+            is_needed = entry.upstream.zone == self._zone or not has_local
+            # In a wave the other zones are needed too, once a cut may be over.
+            if is_needed or (is_wave and evidence.is_old(now_s)):
                 evidence.note_trial(now_s)
                 return entry
         return None
--- a/src/wisteriatiller/steering/evidence.py
+++ b/src/wisteriatiller/steering/evidence.py
@@ -21,6 +21,8 @@
 # After its return an upstream takes a growing share of new flows for this long.
 RETURN_RAMP_S = 2.0
 RETURN_SHARE = 0.25
+# Nothing has been heard against a suspect for this long: what cut it off may be over.
+OLD_SUSPICION_S = 8.0
 # What speaks against an upstream counts for this long.
 COMPLAINT_KEPT_S = 3.0
 
@@ -102,6 +104,10 @@
         """Whether a suspect may be tried with one new flow."""
         return now_s >= self._retry_at_s
 
+    def is_old(self, now_s: float) -> bool:
+        """Whether nothing has spoken against the upstream for long."""
+        return now_s - self._last_complaint_s >= OLD_SUSPICION_S
+
     def note_trial(self, now_s: float) -> None:
         """Note that a suspect gets a new flow; the next one has to wait longer."""
         self._ejection_s = min(2 * self._ejection_s, MAX_EJECTION_S)
--- a/src/wisteriatiller/steering/flowtable.py
+++ b/src/wisteriatiller/steering/flowtable.py
@@ -25,6 +25,7 @@
 
     __slots__ = (
         "acknowledged",
+        "asked_at_s",
         "key",
         "last_seen_s",
         "opened_at_s",
@@ -47,6 +48,8 @@
         self.sent_at_s = now_s
         self.acknowledged = 0
         self.repeats = 0
+        # When the request was sent that has no answer yet; None if there is none.
+        self.asked_at_s: float | None = None
 
 
 def is_after(number: int, other: int) -> bool:
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -14,6 +14,8 @@
 
 # A flow that opens within this time has lost no packet on the way.
 SLOW_OPENING_S = 0.15
+# Most requests are answered within a tenth of this.
+SLOW_ANSWER_S = 0.5
 # A first listing may name thousands of upstreams.
 MAX_CHANGE_LINES = 40
 
@@ -63,6 +65,16 @@
                 waited_ms=round(1000.0 * waited_s),
             )
 
+    def request_answered(self, flow: Flow, waited_s: float) -> None:
+        self._counters.observe_ms("request_answer", 1000.0 * waited_s)
+        if waited_s > SLOW_ANSWER_S:
+            self._log.flow_event(
+                "request_answered_late",
+                flow=flow_text(flow.key),
+                upstream=flow.upstream_id,
+                waited_ms=round(1000.0 * waited_s),
+            )
+
     def refused(self, packet: Packet, refusal: Refuse) -> None:
         self._counters.count("packets_refused", refusal.reason.value)
         self._drop_line("flow_refused", packet, refusal.reason.value)
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -10,7 +10,7 @@
 
 from wisteriatiller.ids import UpstreamId
 
-from .choice import UpstreamChooser
+from .choice import FlowChooser, UpstreamChooser
 from .directory import Change, DirectoryEntry, Presence, UpstreamDirectory
 from .evidence import Evidence
 from .flowtable import Flow, FlowState, FlowTable, is_after
@@ -45,6 +45,9 @@
     @abstractmethod
     def flow_answered(self, flow: Flow, waited_s: float) -> None: ...
 
+    @abstractmethod
+    def request_answered(self, flow: Flow, waited_s: float) -> None: ...
+
     @abstractmethod
     def refused(self, packet: Packet, refusal: Refuse) -> None: ...
 
@@ -72,14 +75,14 @@
         config: ConfigView,
         observer: SteeringObserver,
     ):
-        self._settings = settings
+        self.settings = settings
         self._directory = directory
         self._config = config
         self._observer = observer
         self.evidence = Evidence()
         self.flows = FlowTable(settings.flow_idle_s)
         self._unconfirmed: deque[Flow] = deque()
-        self._chooser = UpstreamChooser(
+        self.chooser: FlowChooser = UpstreamChooser(
             settings.zone, settings.remote_weight, self.flows, self.evidence
         )
 
@@ -158,7 +161,7 @@
         choice = None
         for service in self._config.services(route, packet.flow):
             entries = self._directory.of_service(service)
-            choice = self._chooser.choose(entries, packet.flow, tried, now_s)
+            choice = self.chooser.choose(entries, packet.flow, tried, now_s)
             if choice is not None:
                 break
         if choice is None:
@@ -178,7 +181,7 @@
 
     def _without_route(self, now_s: float) -> Decision:
         age_s = self._config.age_s(now_s)
-        if age_s is None or age_s > self._settings.config_trusted_s:
+        if age_s is None or age_s > self.settings.config_trusted_s:
             return Discard(DiscardReason.ROUTE_UNCERTAIN)
         return Refuse(RefusalReason.NO_ROUTE)
 
@@ -224,6 +227,7 @@
             flow.state = FlowState.OPEN
             self._observer.flow_answered(flow, now_s - flow.opened_at_s)
             self._take_numbers(flow, packet, now_s)
+            self._note_request(flow, packet, now_s)
             self._progress(flow, now_s)
         else:
             self.flows.move(flow, upstream_id)
@@ -235,7 +239,9 @@
 
     def _compare(self, flow: Flow, packet: Packet, now_s: float) -> None:
         if is_after(packet.acknowledged, flow.acknowledged):
+            self._note_answer(flow, packet, now_s)
             self._take_numbers(flow, packet, now_s)
+            self._note_request(flow, packet, now_s)
             self._progress(flow, now_s)
             return
         if not packet.payload_bytes:
@@ -243,6 +249,7 @@
         if is_after(packet.sequence, flow.sequence):
             flow.sequence = packet.sequence
             flow.sent_at_s = now_s
+            self._note_request(flow, packet, now_s)
         elif now_s - flow.sent_at_s >= MIN_REPEAT_S:
             flow.repeats += 1
             self._complain(flow, now_s, is_opening=False)
@@ -253,6 +260,20 @@
         flow.sent_at_s = now_s
         flow.repeats = 0
 
+    def _note_request(self, flow: Flow, packet: Packet, now_s: float) -> None:
+        if packet.payload_bytes and flow.asked_at_s is None:
+            flow.asked_at_s = now_s
+
+    def _note_answer(self, flow: Flow, packet: Packet, now_s: float) -> None:
+        """Measure how long the upstream took for a request.
+
+        A packet with the next request may have waited for the client's user.
+        """
+        asked_at_s, flow.asked_at_s = flow.asked_at_s, None
+        if asked_at_s is None or packet.payload_bytes:
+            return
+        self._observer.request_answered(flow, now_s - asked_at_s)
+
     def _progress(self, flow: Flow, now_s: float) -> None:
         if self.evidence.of(flow.upstream_id).progress(now_s):
             self._observer.trusted(flow.upstream_id)
--- a/testbed/bench.py
+++ b/testbed/bench.py
@@ -35,6 +35,7 @@
         ["--seed", SEED, "--quick", "--length-s", "10", "--no-memory"],
     ),
     "bench_placement": (["--seed", SEED], ["--seed", SEED]),
+    "bench_steering": (["--seed", SEED], ["--seed", SEED, "--load", "3"]),
     # The shortest case takes more CPU time than is left in a quick run.
     "bench_policy": (["--seed", SEED], None),
 }
--- a/tests/flowchoice.feature
+++ b/tests/flowchoice.feature
@@ -101,3 +101,12 @@
     When the upstreams of the other zone are suspects
     And the clients of each host open 60 flows, one every 100 ms
     Then no flow is a trial
+
+  Scenario: Suspects of another zone help again in a later wave
+    # Pattern: a zone is cut off and heals, then many clients return at once. Guards
+    # against a suspicion that nothing ends, since steady load tries no other zone.
+    Given 1 choosing hosts in 2 zones with 2 upstreams each
+    When the upstreams of the other zone are suspects
+    And 10 quiet seconds pass
+    And each host opens 60 flows within 300 ms
+    Then the other zone takes at least 7 flows of the suspecting host
--- a/tests/steeringworld.py
+++ b/tests/steeringworld.py
@@ -65,6 +65,9 @@
     def flow_answered(self, flow, waited_s):
         self.events.append(("answered", flow.upstream_id, waited_s))
 
+    def request_answered(self, flow, waited_s):
+        self.events.append(("request_answered", flow.upstream_id, waited_s))
+
     def refused(self, packet, refusal):
         self.events.append(("refused", refusal.reason))
 
--- a/tests/steps/flowchoice_steps.py
+++ b/tests/steps/flowchoice_steps.py
@@ -304,3 +304,13 @@
     for flow in range(50):
         chosen = sample(entries, flow.to_bytes(12, "big"))
         assert len(set(chosen)) == len(chosen) == limit
+
+
+@then("the other zone takes at least {count:d} flows of the suspecting host")
+def then_other_zone(context, count):
+    zones = {made.upstream_id: made.zone for made in context.upstreams}
+    events = context.hosts[0].observer.events
+    left = [
+        event for event in events if event[0] == "opened" and zones[event[1]] != "a"
+    ]
+    assert len(left) >= count, len(left)
