Call a lost store with few hosts, and keep what lapses meanwhile

The log shows 84 of 96 hosts that each call the store twice a second while it is down: no host is fresh, so each one reads for itself. Ruled out: the followers' own interval (one reader a zone reads in calm times). One that asked such a host tries each 4 s, with the listing only; the configuration follows its first answer. It asks three hosts in turn at most. Its directory does not count itself steady meanwhile, so entries that lapse stay uncertain. A peer's older confirmation no longer makes a reader's listing seem old, which had sent followers to the store.

--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -67,22 +67,24 @@
         self,
         listing: Listing,
         now_s: float,
-        steady_s: float = 0.0,
+        steady_s: float | None = 0.0,
         age_s: float = 0.0,
     ) -> list[Change] | None:
         """Take a listing over; None if it is older than what is known.
 
         ``steady_s`` says for how long its reader has been reading the store without
-        a failure, and ``age_s`` how long ago it was read.
+        a failure, None that this host has lost the store. ``age_s`` is how long ago
+        the listing was read.
         """
         if listing.revision < self.revision:
             return None
-        since_s = now_s - steady_s
-        if self._steady_since_s is None or since_s < self._steady_since_s:
-            self._steady_since_s = since_s
+        if steady_s is not None:
+            self._note_steady(now_s - steady_s)
         self.revision = listing.revision
         self.listing = listing
-        self.applied_at_s = now_s - age_s
+        read_at_s = now_s - age_s
+        if self.applied_at_s is None or read_at_s > self.applied_at_s:
+            self.applied_at_s = read_at_s
         changes = [self._take(upstream, now_s) for upstream in listing.upstreams]
         changes += self._missing(listing, now_s)
         changes = [change for change in changes if change is not None]
@@ -90,7 +92,9 @@
             self._index()
         return changes
 
-    def confirm(self, now_s: float, steady_s: float, age_s: float) -> list[Change]:
+    def confirm(
+        self, now_s: float, steady_s: float | None, age_s: float
+    ) -> list[Change]:
         """Note that the last listing still holds; what is missing may now be gone."""
         return self.apply(self.listing, now_s, steady_s, age_s) or []
 
@@ -118,6 +122,10 @@
     def entries(self) -> Iterable[DirectoryEntry]:
         return self._entries.values()
 
+    def _note_steady(self, since_s: float) -> None:
+        if self._steady_since_s is None or since_s < self._steady_since_s:
+            self._steady_since_s = since_s
+
     def _take(self, upstream: Upstream, now_s: float) -> Change | None:
         entry = self._entries.get(upstream.upstream_id)
         if entry is None:
--- a/src/wisteriatiller/steering/followers.py
+++ b/src/wisteriatiller/steering/followers.py
@@ -2,6 +2,7 @@
 
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from wisteriatiller.ids import NO_REVISION, Revision
 from wisteriatiller.network.loop import Scheduler, Timer
@@ -21,6 +22,9 @@
 from .upstreams import Listing
 
 MAX_RETRY_S = 1.0
+# While hosts before this one try the store too, it tries less often: all hosts
+# together would fill the store as it comes back.
+PATIENT_RETRY_S = 4.0
 # One failure may be a connection that the store has closed.
 LOST_FAILURES = 2
 # A host that has just begun to read may find another one that reads for it, and then
@@ -194,11 +198,17 @@
         self._timer: Timer | None = None
         self._is_active = False
         self._is_asking = False
+        self._is_patient = False
+        self.on_answer: Callable[[], None] = lambda: None
         self._listings = 0
         self._asked_at_s = float("-inf")
 
-    def resume(self) -> None:
-        """Read now and then at the interval, until ``pause`` is called."""
+    def resume(self, is_patient: bool = False) -> None:
+        """Read now and then at the interval, until ``pause`` is called.
+
+        A patient host waits longer after each failure.
+        """
+        self._is_patient = is_patient
         if not self._is_active:
             self._is_active = True
             self._listings = 0
@@ -213,7 +223,12 @@
             self._timer.cancel()
 
     def is_lost(self) -> bool:
-        return self._retry.is_lost()
+        # Others have lost the store already if this host is patient.
+        return self._retry.is_lost() or (self._is_patient and self.is_failing())
+
+    def is_failing(self) -> bool:
+        """Whether the last call got no answer."""
+        return self._retry.failures > 0
 
     def hurry(self) -> None:
         """Read now, unless a read is under way or has just been made."""
@@ -236,6 +251,8 @@
         if isinstance(answer, StoreFailure):
             self._directory.store_lost()
             pause_s = self._retry.failed()
+            if self._is_patient:
+                pause_s = _jittered(PATIENT_RETRY_S)
             self._observer.store_failed("list_upstreams", answer, self._retry.failures)
         else:
             self._retry.succeeded()
@@ -244,6 +261,7 @@
             changes = self._directory.apply(answer, now_s)
             if changes:
                 self._observer.directory_applied(changes, "store")
+            self.on_answer()
         if self._is_active:
             self._timer = self._scheduler.call_later(pause_s, self._ask)
 
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -209,9 +209,7 @@
             request = decode_request(query)
         except MessageError as error:
             return Page(400, str(error).encode())
-        snapshot = self._shared.snapshot(
-            request, self.sharing.is_reading(), self._loop.now_s()
-        )
+        snapshot = self.sharing.snapshot(request)
         self._counters.count("snapshots_given")
         return Page(200, encode_snapshot(snapshot), "application/msgpack")
 
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -26,6 +26,10 @@
 # All hosts of a zone take a new configuration at once, through the link of one host.
 # A larger one is for each of them to read.
 MAX_SHARED_ROUTES = 400
+# Hosts that one host asks in turn, before it reads the store itself.
+MAX_ASKED_IN_TURN = 3
+# A host that has lost the store is asked again after a while; this covers the pause.
+STORE_LOST_S = 4.0
 # How often a reader makes itself known to some other host.
 INTRODUCTION_INTERVAL_S = 3.0
 
@@ -56,7 +60,11 @@
         )
 
     def snapshot(
-        self, request: SnapshotRequest, is_reading: bool, now_s: float
+        self,
+        request: SnapshotRequest,
+        is_reading: bool,
+        has_lost_store: bool,
+        now_s: float,
     ) -> Snapshot:
         """What is newer than the request; its sender becomes known by asking.
 
@@ -76,6 +84,7 @@
             listing_age_s=listing_age_s,
             steady_s=directory.steady_s(now_s),
             is_fresh=is_reading and _is_recent(listing_age_s),
+            has_lost_store=has_lost_store,
             peers=self._peers() if request.wants_peers else (),
         )
 
@@ -112,37 +121,46 @@
         self._link = link
         self._state = state
         self._registry = state.registry
-        self._followers = followers
+        self._config_follower, self._directory_follower = followers
+        self._directory_follower.on_answer = self._store_answered
         self._observer = observer
         self._changed_source = changed_source
         self.source = Source.STORE
         self._is_asking = False
         self._introduced_at_s = float("-inf")
         self._asked_at_s = 0.0
+        self._asked_in_turn = 0
+        # Until when what the hosts before this one said of the lost store counts.
+        self._lost_until_s = float("-inf")
 
     def start(self) -> None:
         """Read the store, and look for a host to read it instead."""
-        for follower in self._followers:
-            follower.resume()
+        self._config_follower.resume()
+        self._directory_follower.resume()
         self._tick()
 
-    def is_reading(self) -> bool:
-        """Whether this host reads the store itself and gets answers."""
-        return self.source is Source.STORE and not self._is_store_lost()
+    def snapshot(self, request: SnapshotRequest) -> Snapshot:
+        """The answer to a host that asks for what is newer than its own."""
+        is_lost = self._is_store_lost()
+        is_reading = self.source is Source.STORE and not is_lost
+        now_s = self._scheduler.now_s()
+        return self._state.snapshot(request, is_reading, is_lost, now_s)
 
     def _is_store_lost(self) -> bool:
-        return any(follower.is_lost() for follower in self._followers)
+        return self._config_follower.is_lost() or self._directory_follower.is_lost()
 
     def _tick(self) -> None:
         self._scheduler.call_later(self._settings.share_interval_s, self._tick)
         if not self._is_asking:
+            self._asked_in_turn = 0
             self._follow_first()
 
     def _follow_first(self) -> None:
         """Ask the first host that may read for this one, or read oneself."""
         now_s = self._scheduler.now_s()
         reader = self._registry.reader(now_s)
-        if reader is not None:
+        if reader is not None and self._asked_in_turn < MAX_ASKED_IN_TURN:
+            self._asked_in_turn += 1
             self._ask(reader, self._take_from_reader)
             return
         self._read_store("no peer reads")
@@ -165,7 +183,8 @@
             take(peer, snapshot)
 
         # Without the store there is nobody else to read a large one from.
-        wants_large_config = self._followers[0].is_failing()
+        followers = (self._config_follower, self._directory_follower)
+        wants_large_config = any(follower.is_failing() for follower in followers)
         request = self._state.request(wants_peers, wants_large_config)
         self._link.ask(peer.address, request, finish)
 
@@ -173,14 +192,18 @@
         now_s = self._scheduler.now_s()
         if snapshot is None or not snapshot.is_fresh:
             self._registry.avoid(peer.address, now_s)
+            if snapshot is not None and snapshot.has_lost_store:
+                self._lost_until_s = now_s + STORE_LOST_S
+                # Entries that lapse now may do so because of the store.
+                self._state.directory.store_lost()
             self._follow_first()
             return
         self._registry.add(peer, now_s)
         self._learn(peer, snapshot, snapshot.steady_s)
         if self.source is Source.STORE:
             self.source = Source.PEER
-            for follower in self._followers:
-                follower.pause()
+            self._config_follower.pause()
+            self._directory_follower.pause()
             self._changed_source(self.source, f"follows {peer.address}")
 
     def _take_help(self, peer: Peer, snapshot: Snapshot | None) -> None:
@@ -191,16 +214,27 @@
         self._registry.add(peer, now_s)
         # What keeps this host from the store may keep upstreams near it from it too,
         # so that their entries lapse although they serve.
-        self._learn(peer, snapshot, self._state.directory.steady_s(now_s))
+        is_lost = self._is_store_lost()
+        steady_s = None if is_lost else self._state.directory.steady_s(now_s)
+        self._learn(peer, snapshot, steady_s)
 
     def _read_store(self, reason: str) -> None:
+        """Read, with one kind of call only while the store may be away."""
+        is_patient = self._scheduler.now_s() < self._lost_until_s
+        self._directory_follower.resume(is_patient)
+        if self._directory_follower.is_failing():
+            self._config_follower.pause()
+        elif not is_patient:
+            self._config_follower.resume()
         if self.source is Source.PEER:
             self.source = Source.STORE
-            for follower in self._followers:
-                follower.resume()
             self._changed_source(self.source, reason)
 
-    def _learn(self, peer: Peer, snapshot: Snapshot, steady_s: float) -> None:
+    def _store_answered(self) -> None:
+        if self.source is Source.STORE:
+            self._config_follower.resume()
+
+    def _learn(self, peer: Peer, snapshot: Snapshot, steady_s: float | None) -> None:
         self._registry.add_all(
             (Peer(address, zone) for address, zone in snapshot.peers),
             self._scheduler.now_s(),
@@ -217,14 +251,16 @@
         if snapshot.config is not None and view.apply(snapshot.config):
             self._observer.config_applied(view, source)
         elif snapshot.config_version > view.version:
-            self._followers[0].fetch()
+            self._config_follower.fetch()
         # The age is of the moment when the peer answered, after it was asked.
         confirmed_at_s = self._asked_at_s - age_s
         is_newer = confirmed_at_s > (view.confirmed_at_s or float("-inf"))
         if view.version == snapshot.config_version and is_newer:
             view.confirm(confirmed_at_s)
 
-    def _learn_listing(self, snapshot: Snapshot, steady_s: float, source: str) -> None:
+    def _learn_listing(
+        self, snapshot: Snapshot, steady_s: float | None, source: str
+    ) -> None:
         directory = self._state.directory
         age_s = snapshot.listing_age_s
         if age_s is None or age_s > MAX_HELP_AGE_S:
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -41,7 +41,8 @@
 class Snapshot(NamedTuple):
     """What a host believes; ``config`` and ``listing`` are None if not newer.
 
-    ``is_fresh`` says that others may follow the host. ``steady_s`` says for how long
+    ``is_fresh`` says that others may follow the host, and ``has_lost_store`` that it
+    tries to read the store in vain. ``steady_s`` says for how long
     the store has been read without a failure. An age of None means that there is
     nothing.
     """
@@ -54,6 +55,7 @@
     listing_age_s: float | None
     steady_s: float
     is_fresh: bool
+    has_lost_store: bool
     peers: tuple[tuple[Address, ZoneId], ...]
 
 
@@ -146,6 +148,7 @@
         listing_age_s=_decode_age_s(raw.listing_age_s),
         steady_s=max(0.0, float(raw.steady_s)),
         is_fresh=bool(raw.is_fresh),
+        has_lost_store=bool(raw.has_lost_store),
         peers=tuple(
             (Address(str(ip), int(port)), ZoneId(str(zone)))
             for ip, port, zone in raw.peers
--- a/tests/directory.feature
+++ b/tests/directory.feature
@@ -57,3 +57,9 @@
   Scenario: Listings in any order lead to the newest state
     # Guards against states that depend on the order of arrival.
     Then 200 random orders of 12 listings lead to the state of the newest
+
+  Scenario: A listing that others read earlier makes the own one no older
+    # Guards against a reader whose listing seems old after a peer has confirmed it.
+    Given a directory that has just read its listing
+    When a peer confirms the same listing, read 0.9 seconds ago
+    Then the listing is 0 seconds old
--- a/tests/readsharing.feature
+++ b/tests/readsharing.feature
@@ -131,3 +131,15 @@
     And the store refuses all hosts but the readers
     And configuration 2 with 2000 routes is put and 12 seconds pass
     Then every host runs configuration 2
+
+  Scenario: A store that is away is called by few hosts
+    # Pattern: the store is down for all in a large zone. Guards against hosts that all
+    # call it each second, and meet it with a wave of calls as it comes back.
+    Given 40 sharing hosts in one zone with links of 250 KB a second
+    When 10 seconds of sharing pass
+    And the store refuses all hosts
+    Then the hosts make at most 200 calls in the next 6 seconds
+    When the store takes all hosts again and 4 seconds pass
+    And configuration 2 is put and 1.5 seconds pass
+    Then every host runs configuration 2
+    And 1 hosts read the store
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -185,9 +185,7 @@
 
         def answer():
             received = decode_request(encode_request(request))
-            snapshot = host.state.snapshot(
-                received, host.sharing.is_reading(), fleet.scheduler.now_s()
-            )
+            snapshot = host.sharing.snapshot(received)
             data = encode_snapshot(snapshot)
             wait_s = host.transfer_s(len(data), fleet)
             if wait_s > PEER_TIMEOUT_S:
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -142,3 +142,19 @@
         ready = {made for made in newest.upstreams if made.state is UpstreamState.READY}
         found = {entry.upstream for entry in directory.of_service("stock")}
         assert found == ready, seed
+
+
+@given("a directory that has just read its listing")
+def given_just_read(context):
+    context.directory = UpstreamDirectory()
+    context.directory.apply(listing(1, upstream("1")), 1000.0, steady_s=60.0)
+
+
+@when("a peer confirms the same listing, read {age_s:g} seconds ago")
+def when_confirms(context, age_s):
+    context.directory.confirm(1000.0, steady_s=60.0, age_s=age_s)
+
+
+@then("the listing is {age_s:g} seconds old")
+def then_age(context, age_s):
+    assert context.directory.age_s(1000.0) == age_s
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -89,6 +89,17 @@
     context.fleet.store.refuses = names - reading
 
 
+@when("the store refuses all hosts")
+def when_refuses_all(context):
+    context.fleet.store.refuses = {host.name for host in context.fleet.hosts}
+
+
+@when("the store takes all hosts again and {duration_s:g} seconds pass")
+def when_takes_all(context, duration_s):
+    context.fleet.store.refuses = set()
+    context.scheduler.run_for(duration_s)
+
+
 @when("the readers lose the store silently")
 def when_silent(context):
     context.fleet.store.silent_for = {host.name for host in readers(context)}
