Suspect upstreams that open flows and answer no request

Cause: on grown sites upstreams hang while their health is good. Ruled out: opening and repeats as evidence; both look healthy there. Change: a request without an answer for 0.6 s (and four times the upstream's usual wait) makes its upstream a suspect if it has answered nobody since; only an answer to a request clears it.

--- a/src/wisteriatiller/steering/evidence.py
+++ b/src/wisteriatiller/steering/evidence.py
@@ -15,6 +15,10 @@
 # an upstream no more than a moment without new flows of one host.
 SUSPECT_FLOWS = 2
 SUSPECT_REPEATS = 3
+# A request that waits this many times the usual speaks against its upstream.
+LONG_WAIT_FACTOR = 4.0
+# The weight of a new wait in an upstream's typical one.
+WAIT_GAIN = 0.3
 # A suspect takes one new flow after this time, longer each time that one fails.
 MIN_EJECTION_S = 1.0
 MAX_EJECTION_S = 4.0
@@ -36,12 +40,15 @@
     """The evidence about one upstream."""
 
     __slots__ = (
+        "_answered_at_s",
         "_complaints",
         "_ejection_s",
+        "_is_mute",
         "_last_complaint_s",
         "_repeats",
         "_retry_at_s",
         "_returned_at_s",
+        "_typical_wait_s",
         "last_progress_s",
         "verdict",
     )
@@ -55,6 +62,11 @@
         self._ejection_s = MIN_EJECTION_S
         self._retry_at_s = 0.0
         self._returned_at_s = float("-inf")
+        # Whether it is a suspect because requests have no answer; opening a flow does
+        # not clear it of that.
+        self._is_mute = False
+        self._answered_at_s = float("-inf")
+        self._typical_wait_s = 0.0
 
     def progress(self, now_s: float) -> bool:
         """Note a sign of life; True if it ends a suspicion."""
@@ -62,13 +74,38 @@
         if self._repeats:
             self._complaints.clear()
             self._repeats = 0
-        if self.verdict is Verdict.TRUSTED:
+        if self.verdict is Verdict.TRUSTED or self._is_mute:
             return False
         self.verdict = Verdict.TRUSTED
         self._ejection_s = MIN_EJECTION_S
         self._returned_at_s = now_s
         return True
 
+    def answered(self, now_s: float) -> bool:
+        """Note an answer to a request; True if it ends a suspicion."""
+        self._answered_at_s = now_s
+        self._is_mute = False
+        return self.progress(now_s)
+
+    def waited(self, waited_s: float) -> None:
+        """Note how long the upstream took for a request."""
+        self._typical_wait_s += WAIT_GAIN * (waited_s - self._typical_wait_s)
+
+    def unanswered(self, asked_at_s: float, now_s: float) -> bool:
+        """Note a request of ``asked_at_s`` that has no answer yet.
+
+        Returns True if it makes the upstream a suspect. One that answers others, or
+        takes long as a rule, is none.
+        """
+        is_usual = now_s - asked_at_s < LONG_WAIT_FACTOR * self._typical_wait_s
+        if self._answered_at_s > asked_at_s or is_usual:
+            return False
+        self._is_mute = True
+        if self.verdict is Verdict.SUSPECT:
+            return False
+        self._suspect(now_s)
+        return True
+
     def complaint(
         self, flow: FlowKey, sent_at_s: float, now_s: float, is_opening: bool = False
     ) -> bool:
@@ -93,9 +130,12 @@
         )
         if not is_enough:
             return False
+        self._suspect(now_s)
+        return True
+
+    def _suspect(self, now_s: float) -> None:
         self.verdict = Verdict.SUSPECT
         self._retry_at_s = now_s + self._ejection_s
-        return True
 
     def complaining_flows(self) -> int:
         return len(self._complaints)
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -32,6 +32,8 @@
 MIN_REPEAT_S = 0.15
 # The packet that follows an answered opening takes one round trip, about 10 ms.
 CONFIRM_S = 0.1
+# Requests that most upstreams would have answered several times over.
+ANSWER_DUE_S = 0.6
 
 
 class SteeringObserver(ABC):
@@ -82,6 +84,7 @@
         self.evidence = Evidence()
         self.flows = FlowTable(settings.flow_idle_s)
         self._unconfirmed: deque[Flow] = deque()
+        self._unanswered: deque[tuple[Flow, float]] = deque()
         self.chooser: FlowChooser = UpstreamChooser(
             settings.zone, settings.remote_weight, self.flows, self.evidence
         )
@@ -108,6 +111,7 @@
 
     def _open(self, packet: Packet, now_s: float) -> Decision:
         self._check_unconfirmed(now_s)
+        self._check_unanswered(now_s)
         route = self._config.route(packet.service_address)
         if route is None:
             return self._without_route(now_s)
@@ -134,6 +138,22 @@
             if flow.state is FlowState.OPENING:
                 self._complain(flow, now_s, is_opening=True)
 
+    def _check_unanswered(self, now_s: float) -> None:
+        """Hold requests without an answer against upstreams that answer nobody.
+
+        Such an upstream goes on opening flows. Its clients leave them soon, so that it
+        has the fewest and would get every new one.
+        """
+        while self._unanswered:
+            flow, asked_at_s = self._unanswered[0]
+            if now_s - asked_at_s < ANSWER_DUE_S:
+                return
+            self._unanswered.popleft()
+            if flow.asked_at_s != asked_at_s:
+                continue
+            if self.evidence.of(flow.upstream_id).unanswered(asked_at_s, now_s):
+                self._observer.suspected(flow.upstream_id, 1)
+
     def _is_copy(self, flow: Flow, packet: Packet) -> bool:
         """Whether an opening packet belongs to a known flow, not to a new one."""
         return packet.copy > 0 or flow.sequence == packet.sequence
@@ -232,9 +252,14 @@
         else:
             self.flows.move(flow, upstream_id)
             self._compare(flow, packet, now_s)
+        if packet.kind is PacketKind.ESTABLISHED:
+            return
+        if flow.asked_at_s is not None and now_s - flow.asked_at_s < ANSWER_DUE_S:
+            # The client has left early, which is not the upstream's doing.
+            flow.asked_at_s = None
         if packet.kind is PacketKind.ABORTING:
             self.flows.remove(packet.flow)
-        elif packet.kind is PacketKind.CLOSING:
+        else:
             self.flows.close(flow)
 
     def _compare(self, flow: Flow, packet: Packet, now_s: float) -> None:
@@ -262,17 +287,22 @@
 
     def _note_request(self, flow: Flow, packet: Packet, now_s: float) -> None:
         if packet.payload_bytes and flow.asked_at_s is None:
+            self._check_unanswered(now_s)
             flow.asked_at_s = now_s
+            self._unanswered.append((flow, now_s))
 
     def _note_answer(self, flow: Flow, packet: Packet, now_s: float) -> None:
-        """Measure how long the upstream took for a request.
-
-        A packet with the next request may have waited for the client's user.
-        """
+        """Take a moving acknowledgement as the answer to the flow's request."""
         asked_at_s, flow.asked_at_s = flow.asked_at_s, None
-        if asked_at_s is None or packet.payload_bytes:
+        if asked_at_s is None:
             return
-        self._observer.request_answered(flow, now_s - asked_at_s)
+        evidence = self.evidence.of(flow.upstream_id)
+        if evidence.answered(now_s):
+            self._observer.trusted(flow.upstream_id)
+        # The next request may have waited for the client's user.
+        if not packet.payload_bytes:
+            evidence.waited(now_s - asked_at_s)
+            self._observer.request_answered(flow, now_s - asked_at_s)
 
     def _progress(self, flow: Flow, now_s: float) -> None:
         if self.evidence.of(flow.upstream_id).progress(now_s):
--- a/testbed/flowworld.py
+++ b/testbed/flowworld.py
@@ -134,6 +134,8 @@
         self.listed = listed
         self.slowness = 1.0
         self.is_dark = False
+        # Opens flows and answers no request.
+        self.is_mute = False
         self.open_flows = 0
         self._busy = 0
         self._queue: deque[tuple[float, Callable[[], None]]] = deque()
@@ -153,7 +155,7 @@
 
         def finish() -> None:
             self._busy -= 1
-            if not self.is_dark:
+            if not self.is_dark and not self.is_mute:
                 done()
             if self._queue:
                 self._begin(*self._queue.popleft())
--- a/tests/flowchoice.feature
+++ b/tests/flowchoice.feature
@@ -110,3 +110,16 @@
     And 10 quiet seconds pass
     And each host opens 60 flows within 300 ms
     Then the other zone takes at least 7 flows of the suspecting host
+
+  Scenario: An upstream that opens flows and answers no request gets few of them
+    # Pattern: upstreams that hang while their health is good. Guards against the fewest
+    # open flows, which such an upstream has since its clients leave it.
+    Given 1 choosing hosts in 1 zones with 3 upstreams each
+    When one upstream answers no request
+    And clients make 90 requests, one every 100 ms, and leave after 1200 ms
+    Then the mute upstream gets at most 15 of them
+
+  Scenario: A slow answer accuses no upstream that answers others
+    Given 1 choosing hosts in 1 zones with 3 upstreams each
+    When one request takes 5 seconds and others are answered
+    Then nobody is suspected
