--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 
 .PHONY: install format lint test demo bench binary clean
 
-$(STAMP): requirements.lock pyproject.toml
+$(STAMP): requirements.lock requirements-tools.lock pyproject.toml
 	python3.11 -m venv $(VENV)
-	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+		-r requirements.lock -r requirements-tools.lock
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $(STAMP)
 
@@ -19,6 +20,7 @@
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
+	$(VENV)/bin/lint-imports
 
 test: $(STAMP)
 	$(PYTHON) -m tests.run_all
--- a/src/wisteriatiller/__init__.py
+++ b/src/wisteriatiller/__init__.py
@@ -15,15 +15,15 @@
 
 __version__ = "0.1.0"
 
-_MODULES = {
-    "Configuration": "config",
-    "Environment": "environment",
-    "Host": "runtime",
-    "HostSettings": "settings",
-    "load_settings": "settings",
-    "load_text": "configtext",
-    "new_submission_id": "configstore",
-    "submit": "configstore",
+_PACKAGES = {
+    "Configuration": "configuration",
+    "Environment": "foundation",
+    "Host": "operations",
+    "HostSettings": "configuration",
+    "load_settings": "configuration",
+    "load_text": "configuration",
+    "new_submission_id": "store",
+    "submit": "store",
 }
 
 __all__ = [
@@ -40,9 +40,9 @@
 
 
 def __getattr__(name: str) -> object:
-    module = _MODULES.get(name)
-    if module is None:
+    package = _PACKAGES.get(name)
+    if package is None:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
     from importlib import import_module
 
-    return getattr(import_module(f"{__name__}.{module}"), name)
+    return getattr(import_module(f"{__name__}.{package}"), name)
--- /dev/null
+++ b/src/wisteriatiller/configuration/__init__.py
@@ -0,0 +1,39 @@
+"""The operators' configuration text and a host's settings, read and checked."""
+
+from .config import ConfigSource, Configuration, RequestMode, Service, Upstream
+from .configrecord import (
+    NO_RECORD,
+    ConfigRecord,
+    RecordInvalid,
+    decode_record,
+    encode_record,
+    next_record,
+)
+from .configtext import load_text
+from .settings import HostSettings, load_settings
+from .textcheck import NotAllowed, address, identifier, store_url
+from .textparse import MAX_TEXT_BYTES, TextProblem, TextProblems
+
+__all__ = [
+    "MAX_TEXT_BYTES",
+    "NO_RECORD",
+    "ConfigRecord",
+    "ConfigSource",
+    "Configuration",
+    "HostSettings",
+    "NotAllowed",
+    "RecordInvalid",
+    "RequestMode",
+    "Service",
+    "TextProblem",
+    "TextProblems",
+    "Upstream",
+    "address",
+    "decode_record",
+    "encode_record",
+    "identifier",
+    "load_settings",
+    "load_text",
+    "next_record",
+    "store_url",
+]
--- a/src/wisteriatiller/config.py
+++ b/src/wisteriatiller/configuration/config.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from functools import cached_property
 
-from .ids import (
+from wisteriatiller.ids import (
     NO_REVISION,
     Address,
     HostId,
@@ -21,7 +21,7 @@
     UpstreamId,
     ZoneId,
 )
-from .placement import PlacementTable, shard_of
+from wisteriatiller.placement import PlacementTable, shard_of
 
 DEFAULT_SHARD_COUNT = 16
 MAX_EARLIER_TABLES = 16
--- a/src/wisteriatiller/configrecord.py
+++ b/src/wisteriatiller/configuration/configrecord.py
@@ -18,6 +18,15 @@
 
 import msgpack
 
+from wisteriatiller.ids import (
+    Address,
+    Revision,
+    ServiceId,
+    SubmissionId,
+    UpstreamId,
+    ZoneId,
+)
+
 from .config import (
     Configuration,
     EarlierTable,
@@ -26,7 +35,6 @@
     Upstream,
     next_earlier,
 )
-from .ids import Address, Revision, ServiceId, SubmissionId, UpstreamId, ZoneId
 
 FORMAT = 1
 # The store's limit for a value.
--- a/src/wisteriatiller/configtext.py
+++ b/src/wisteriatiller/configuration/configtext.py
@@ -10,22 +10,14 @@
 
 from collections.abc import Mapping
 
-from .config import (
-    DEFAULT_SHARD_COUNT,
-    Configuration,
-    RequestMode,
-    Service,
-    Upstream,
-)
+from wisteriatiller.ids import Address, ServiceId, SubmissionId, UpstreamId, ZoneId
+
+from .config import DEFAULT_SHARD_COUNT, Configuration, RequestMode, Service, Upstream
 from .configrecord import ConfigRecord, RecordInvalid, encode_record
-from .ids import Address, ServiceId, SubmissionId, UpstreamId, ZoneId
 from .textcheck import (
     Checker,
     Field,
-    KeyPath,
     NotAllowed,
-    TextProblem,
-    TextProblems,
     address,
     boolean,
     choice,
@@ -33,8 +25,8 @@
     integer,
     list_of,
     number,
-    parse_text,
 )
+from .textparse import KeyPath, TextProblem, TextProblems, parse_text
 
 MAX_SHARD_COUNT = 1024
 # A deadline has to end well before EXCHANGE_LIFETIME (247 s), after which a host
--- a/src/wisteriatiller/settings.py
+++ b/src/wisteriatiller/configuration/settings.py
@@ -3,23 +3,22 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from .exceptions import SettingsError
-from .ids import Address, HostId, ZoneId
+from wisteriatiller.exceptions import SettingsError
+from wisteriatiller.ids import Address, HostId, ZoneId
+
 from .textcheck import (
     Checker,
     Field,
     NotAllowed,
-    TextProblem,
-    TextProblems,
     address,
     identifier,
     list_of,
     listen_address,
     number,
     optional,
-    parse_text,
     store_url,
 )
+from .textparse import TextProblem, TextProblems, parse_text
 
 # Digests between hosts have 16 bytes; a shorter key would be the weaker part.
 MIN_PEER_KEY_BYTES = 16
--- a/src/wisteriatiller/textcheck.py
+++ b/src/wisteriatiller/configuration/textparse.py
@@ -1,25 +1,14 @@
-"""Reading and checking of JSON texts with comments and trailing commas.
+"""Parsing of JSON texts with comments and trailing commas.
 
 ``parse_text`` turns bytes into a ``ParsedText`` that knows the line of each key path.
-A ``Checker`` then reads typed fields from it and collects every problem, so that an
-operator sees all of them at once::
-
-    checker = Checker("services.json", parsed)
-    values = checker.fields((), parsed.value, {"shard_count": integer(1, 64)})
 """
 
-import difflib
-import ipaddress
 import json
-import math
 import re
-from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import json5
 
-from .ids import Address
-
 MAX_TEXT_BYTES = 1_000_000
 # The deepest valid text nests 5 levels. Parsers recurse once or more for each level,
 # so the bound also keeps them away from the interpreter's recursion limit.
@@ -27,13 +16,11 @@
 # json5 reads 40 to 70 KB a second. Larger texts have to be JSON apart from comments
 # and trailing commas, which are read at about 1 MB a second.
 MAX_JSON5_BYTES = 200_000
-MAX_ID_LENGTH = 64
 MAX_FOUND_LENGTH = 60
 MAX_MESSAGE_LENGTH = 400
 
 KeyPath = tuple[str | int, ...]
 
-_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _PLAIN_KEY = re.compile(r"[A-Za-z0-9_-]+")
 _TOKEN = re.compile(
     r"""
@@ -277,196 +264,3 @@
 
 
 # A field check returns the checked value, or raises ``NotAllowed``.
-FieldCheck = Callable[[object], object]
-
-
-class NotAllowed(Exception):
-    """A value that a field check refuses; caught by the ``Checker``."""
-
-    def __init__(self, allowed: str):
-        self.allowed = allowed
-
-
-@dataclass(frozen=True, slots=True)
-class Field:
-    """How one key of an object is checked; ``required`` keys have no default.
-
-    The value of a ``secret`` key is never shown in a problem.
-    """
-
-    check: FieldCheck
-    required: bool = False
-    default: object = None
-    secret: bool = False
-
-
-class Checker:
-    """Collects the problems of one text."""
-
-    def __init__(self, name: str, parsed: ParsedText):
-        self.name = name
-        self.parsed = parsed
-        self.problems: list[TextProblem] = []
-        for path in parsed.duplicates:
-            self.problem(path, "the key a second time", "each key once")
-
-    def problem(self, path: KeyPath, found: str, allowed: str) -> None:
-        line = self.parsed.line_of(path)
-        self.problems.append(
-            TextProblem(self.name, line, show_path(path), found, allowed)
-        )
-
-    def result(self) -> TextProblems | None:
-        """The problems in the order of the text, or None if there are none."""
-        if not self.problems:
-            return None
-        return TextProblems(tuple(sorted(self.problems, key=lambda p: p.line)))
-
-    def value(
-        self, path: KeyPath, value: object, check: FieldCheck, secret: bool = False
-    ) -> object:
-        """Check one value; None stands for a problem that was noted."""
-        try:
-            return check(value)
-        except NotAllowed as wrong:
-            found = "a secret that is not shown" if secret else show_value(value)
-            self.problem(path, found, wrong.allowed)
-            return None
-
-    def mapping(self, path: KeyPath, value: object, allowed: str) -> dict:
-        if isinstance(value, dict):
-            return value
-        self.problem(path, show_value(value), allowed)
-        return {}
-
-    def fields(
-        self, path: KeyPath, value: object, fields: Mapping[str, Field]
-    ) -> dict[str, object] | None:
-        """Check the keys of an object; None if the object cannot be used."""
-        if not isinstance(value, dict):
-            self.problem(path, show_value(value), "an object")
-            return None
-        before = len(self.problems)
-        for key in value:
-            if key not in fields:
-                self.problem((*path, key), "an unknown key", _known_keys(key, fields))
-        checked = {}
-        for key, item in fields.items():
-            if key in value:
-                checked[key] = self.value(
-                    (*path, key), value[key], item.check, item.secret
-                )
-            elif item.required:
-                self.problem(path, f"no key {key}", f"an object with the key {key}")
-            else:
-                checked[key] = item.default
-        return checked if len(self.problems) == before else None
-
-
-def _known_keys(key: str, fields: Mapping[str, Field]) -> str:
-    """Name the key that was meant, with its unit, or else all keys."""
-    stem = re.sub(r"_(ms|s|min|m|h|sec|seconds|bytes|kb)$", "", key)
-    for name in fields:
-        if re.sub(r"_(ms|s)$", "", name) == stem:
-            unit = {"ms": "milliseconds", "s": "seconds"}.get(name.rpartition("_")[2])
-            return f"{name}, a number of {unit}" if unit else name
-    close = difflib.get_close_matches(key, fields, 1)
-    return close[0] if close else "one of " + ", ".join(fields)
-
-
-def integer(low: int, high: int) -> FieldCheck:
-    def check(value):
-        if type(value) is not int or not low <= value <= high:
-            raise NotAllowed(f"a whole number from {low} to {high}")
-        return value
-
-    return check
-
-
-def number(low: float, high: float) -> FieldCheck:
-    def check(value):
-        usable = type(value) is int or (type(value) is float and math.isfinite(value))
-        if not usable or not low <= value <= high:
-            raise NotAllowed(f"a number from {low} to {high}")
-        return float(value)
-
-    return check
-
-
-def boolean(value):
-    if type(value) is not bool:
-        raise NotAllowed("true or false")
-    return value
-
-
-def choice(*names: str) -> FieldCheck:
-    def check(value):
-        if not isinstance(value, str) or value not in names:
-            raise NotAllowed(" or ".join(json.dumps(name) for name in names))
-        return value
-
-    return check
-
-
-def identifier(value):
-    if not isinstance(value, str) or not _ID.fullmatch(value):
-        raise NotAllowed(
-            "an id of letters, digits, dots, dashes and underscores, "
-            f"up to {MAX_ID_LENGTH} characters"
-        )
-    return value
-
-
-def address(value, unspecified: bool = False):
-    """An IP number and a port; names are refused, since no host resolves them."""
-    allowed = 'an IP number and a port such as "10.10.0.1:5683" or "[2001:db8::1]:5683"'
-    if not isinstance(value, str) or "%" in value:
-        raise NotAllowed(allowed)
-    match = re.fullmatch(r"(?:\[([0-9A-Fa-f:.]+)\]|([0-9.]+)):([0-9]{1,5})", value)
-    if match is None or not 1 <= int(match[3]) <= 65535:
-        raise NotAllowed(allowed)
-    try:
-        ip = ipaddress.ip_address(match[1] or match[2])
-    except ValueError:
-        raise NotAllowed(allowed) from None
-    if (ip.version == 6) != bool(match[1]):
-        raise NotAllowed(allowed)
-    if ip.is_multicast or (ip.is_unspecified and not unspecified):
-        raise NotAllowed("the IP number of one host, with a port")
-    return Address(str(ip), int(match[3]))
-
-
-def listen_address(value):
-    """An address to bind, which may be the unspecified one."""
-    return address(value, unspecified=True)
-
-
-def store_url(value):
-    allowed = 'a URL with an IP number such as "http://10.0.0.5:8500"'
-    match = re.fullmatch(r"https?://([^/?#@]+)/?", value if type(value) is str else "")
-    if match is None:
-        raise NotAllowed(allowed)
-    try:
-        address(match[1])
-    except NotAllowed:
-        raise NotAllowed(allowed) from None
-    return value
-
-
-def optional(check: FieldCheck) -> FieldCheck:
-    def check_or_none(value):
-        return None if value is None else check(value)
-
-    return check_or_none
-
-
-def list_of(check: FieldCheck, allowed: str, least: int = 0) -> FieldCheck:
-    def check_all(value):
-        if not isinstance(value, list) or len(value) < least:
-            raise NotAllowed(allowed)
-        try:
-            return tuple(check(item) for item in value)
-        except NotAllowed:
-            raise NotAllowed(allowed) from None
-
-    return check_all
--- a/src/wisteriatiller/environment.py
+++ b/src/wisteriatiller/foundation/environment.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from wisteriatiller.configuration import HostSettings
+
 from .ports import (
     Clock,
     DatagramPorts,
@@ -12,7 +14,6 @@
     Store,
 )
 from .report import ServiceLevel
-from .settings import HostSettings
 
 
 @dataclass(slots=True)
--- a/src/wisteriatiller/listeners.py
+++ b/src/wisteriatiller/foundation/listeners.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from .exceptions import InvariantBroken
+from wisteriatiller.exceptions import InvariantBroken
+
 from .logs import log_event
 from .ports import Metrics
 from .tasks import stop_process
--- a/src/wisteriatiller/logs.py
+++ b/src/wisteriatiller/foundation/logs.py
@@ -11,7 +11,7 @@
 
 from absl import flags, logging
 
-from .eventline import event_line
+from wisteriatiller.eventline import event_line
 
 _LEVELS = {
     "debug": logging.DEBUG,
--- a/src/wisteriatiller/messages.py
+++ b/src/wisteriatiller/foundation/messages.py
@@ -13,7 +13,7 @@
 
 import msgpack
 
-from .exceptions import MessageError
+from wisteriatiller.exceptions import MessageError
 
 VERSION = 1
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
--- a/src/wisteriatiller/metrics.py
+++ b/src/wisteriatiller/foundation/metrics.py
@@ -5,7 +5,8 @@
 
 import statsd
 
-from .ids import Address
+from wisteriatiller.ids import Address
+
 from .ports import Metrics
 
 FLUSH_INTERVAL_S = 1.0
--- a/src/wisteriatiller/ports.py
+++ b/src/wisteriatiller/foundation/ports.py
@@ -10,9 +10,10 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from .ids import Address, HostId
+from wisteriatiller.ids import Address, HostId
+from wisteriatiller.outcomes import Conflict, StoreUnavailable, Unreachable
+
 from .messages import Message
-from .outcomes import Conflict, StoreUnavailable, Unreachable
 
 
 class Clock(ABC):
--- a/src/wisteriatiller/report.py
+++ b/src/wisteriatiller/foundation/report.py
@@ -14,8 +14,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from .config import Configuration
-from .ids import HostId, ServiceId, UpstreamId
+from wisteriatiller.configuration import Configuration
+from wisteriatiller.ids import HostId, ServiceId, UpstreamId
+
 from .ports import Clock
 
 # A short window shows what happens now, a long one whether it lasts. Hosts keep
--- a/src/wisteriatiller/tasks.py
+++ b/src/wisteriatiller/foundation/tasks.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Coroutine
 
-from .exceptions import InvariantBroken
+from wisteriatiller.exceptions import InvariantBroken
+
 from .logs import log_event
 
 # Exit status EX_SOFTWARE, so that a supervisor can tell a broken invariant from a
--- a/src/wisteriatiller/grantors.py
+++ b/src/wisteriatiller/leases/grantors.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass, field
 
-from .environment import Environment
-from .exceptions import check_invariant
+from wisteriatiller.exceptions import check_invariant
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import HostId
+
 from .grantorviews import DRIFT_MARGIN_S, LEASE_S, GrantorViews
-from .ids import HostId
 from .leasemessages import LeaseRelease, LeaseReleased, LeaseReply, LeaseRequest
 
 # A former backup that takes the owner for silent would otherwise win a planned
--- a/src/wisteriatiller/grantorviews.py
+++ b/src/wisteriatiller/leases/grantorviews.py
@@ -14,9 +14,14 @@
 
 from xxhash import xxh64_intdigest
 
-from .environment import Environment
-from .exceptions import check_invariant
-from .ids import Address, HostId
+from wisteriatiller.exceptions import check_invariant
+from wisteriatiller.foundation import Environment, StoreEntry, spawn
+from wisteriatiller.ids import Address, HostId
+from wisteriatiller.membership import Membership
+from wisteriatiller.outcomes import StoreUnavailable
+from wisteriatiller.placement import rank_hosts
+from wisteriatiller.store import PlatformHost, read_platform_hosts
+
 from .leasemessages import (
     AskIncarnation,
     AskView,
@@ -25,12 +30,6 @@
     ViewAnswer,
     ViewUpdate,
 )
-from .membership import Membership
-from .outcomes import StoreUnavailable
-from .placement import rank_hosts
-from .platformhosts import PlatformHost, read_platform_hosts
-from .ports import StoreEntry
-from .tasks import spawn
 
 LEASE_S = 3.0
 # Clocks of two hosts may differ in rate by this much over one lease.
--- a/src/wisteriatiller/lease.py
+++ b/src/wisteriatiller/leases/lease.py
@@ -5,21 +5,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .environment import Environment
-from .exceptions import check_invariant
-from .grantorviews import (
-    DRIFT_MARGIN_S,
-    LEASE_S,
-    GrantorView,
-    GrantorViews,
-    read_view,
-)
-from .ids import HostId, ShardId
+from wisteriatiller.exceptions import check_invariant
+from wisteriatiller.foundation import Environment, log_event, spawn
+from wisteriatiller.ids import HostId, ShardId
+from wisteriatiller.membership import Membership
+
+from .grantorviews import DRIFT_MARGIN_S, LEASE_S, GrantorView, GrantorViews, read_view
 from .leasemessages import LeaseRelease, LeaseReleased, LeaseReply, LeaseRequest
-from .logs import log_event
-from .membership import Membership
 from .ownership import Ownership, shard_key
-from .tasks import spawn
 
 LeaseListener = Callable[[ShardId, int], None]
 
--- a/src/wisteriatiller/leasemessages.py
+++ b/src/wisteriatiller/leases/leasemessages.py
@@ -1,6 +1,6 @@
 """Messages between hosts about leases and the grantors that give them."""
 
-from .messages import Message, message
+from wisteriatiller.foundation import Message, message
 
 
 @message(30)
--- a/src/wisteriatiller/ownership.py
+++ b/src/wisteriatiller/leases/ownership.py
@@ -3,10 +3,10 @@
 from bisect import insort
 from dataclasses import dataclass
 
-from .environment import Environment
-from .ids import HostId, ShardId
-from .membership import Membership
-from .placement import host_score, rank_hosts
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import HostId, ShardId
+from wisteriatiller.membership import Membership
+from wisteriatiller.placement import host_score, rank_hosts
 
 
 def shard_key(shard: ShardId) -> str:
--- a/src/wisteriatiller/gossipwire.py
+++ b/src/wisteriatiller/membership/gossipwire.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Sequence
 
-from .digests import DIGEST_BYTES, sign, verify
-from .exceptions import MessageError
-from .ids import Address, HostId
-from .messages import Message, decode, encode, message
+from wisteriatiller.digests import DIGEST_BYTES, sign, verify
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.foundation import Message, decode, encode, message
+from wisteriatiller.ids import Address, HostId
 
 # Below the Ethernet limit with room for IPv6 and tunnel headers, so that a datagram
 # is never fragmented.
--- a/src/wisteriatiller/membership.py
+++ b/src/wisteriatiller/membership/membership.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import Address, HostId, ZoneId
+from wisteriatiller.ids import Address, HostId, ZoneId
 
 GossipListener = Callable[[str, int, object], None]
 
--- a/src/wisteriatiller/swim.py
+++ b/src/wisteriatiller/membership/swim.py
@@ -9,7 +9,9 @@
 import asyncio
 from collections.abc import Callable
 
-from .environment import Environment
+from wisteriatiller.foundation import Environment, call_listener, log_event, spawn
+from wisteriatiller.ids import Address, ZoneId
+
 from .gossipwire import (
     Ack,
     Digest,
@@ -21,9 +23,6 @@
     StateEntries,
     Versions,
 )
-from .ids import Address, ZoneId
-from .listeners import call_listener
-from .logs import log_event
 from .membership import Member, Membership
 from .swimcompare import Comparisons
 from .swimentries import GossipEntries
@@ -33,7 +32,6 @@
 from .swimprobes import Prober
 from .swimpush import Pusher
 from .swimzones import ZoneContact, ZoneListener
-from .tasks import spawn
 
 TICK_S = 0.25
 STALL_S = SUSPICION_S
--- a/src/wisteriatiller/swimcompare.py
+++ b/src/wisteriatiller/membership/swimcompare.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from .environment import Environment
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import Address, HostId
+
 from .gossip import Entry, first_fitting
 from .gossipwire import (
     UPDATES_BYTES,
@@ -14,7 +16,6 @@
     StateEntries,
     Versions,
 )
-from .ids import Address, HostId
 from .swimentries import GossipEntries
 from .swimhosts import HostTable, KnownHost
 from .swimlink import GossipLink, PendingNonces
--- a/src/wisteriatiller/swimentries.py
+++ b/src/wisteriatiller/membership/swimentries.py
@@ -4,7 +4,9 @@
 
 import msgpack
 
-from .environment import Environment
+from wisteriatiller.foundation import Environment, call_listener, log_event_limited
+from wisteriatiller.ids import HostId
+
 from .gossip import (
     MAX_KEY_BYTES,
     MAX_VALUE_BYTES,
@@ -15,9 +17,6 @@
     make_entry,
 )
 from .gossipwire import UPDATES_BYTES
-from .ids import HostId
-from .listeners import call_listener
-from .logs import log_event_limited
 from .membership import GossipListener
 from .swimhosts import (
     ALIVE,
--- a/src/wisteriatiller/swimhosts.py
+++ b/src/wisteriatiller/membership/swimhosts.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterator
 
-from .environment import Environment
-from .ids import Address, HostId, ZoneId
-from .logs import log_event
+from wisteriatiller.foundation import Environment, log_event
+from wisteriatiller.ids import Address, HostId, ZoneId
+
 from .membership import HostState
 
 SUSPICION_S = 2.0
--- a/src/wisteriatiller/swimjoin.py
+++ b/src/wisteriatiller/membership/swimjoin.py
@@ -1,8 +1,9 @@
 """Joining the other hosts through the seeds of the settings."""
 
-from .environment import Environment
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import Address
+
 from .gossipwire import Ack, Join
-from .ids import Address
 from .swimcompare import Comparisons
 from .swimentries import GossipEntries
 from .swimhosts import DEAD, HOST_PREFIX, HostTable
--- a/src/wisteriatiller/swimlink.py
+++ b/src/wisteriatiller/membership/swimlink.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Container
 
-from .environment import Environment
-from .exceptions import MessageError
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.foundation import (
+    DatagramPort,
+    Environment,
+    Message,
+    log_event_limited,
+)
+from wisteriatiller.ids import Address, HostId
+
 from .gossipwire import seal, unseal
-from .ids import Address, HostId
-from .logs import log_event_limited
-from .messages import Message
-from .ports import DatagramPort
 from .swimzones import ZONE_TIMEOUT_S
 
 MAX_NONCES = 4096
--- a/src/wisteriatiller/swimprobes.py
+++ b/src/wisteriatiller/membership/swimprobes.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from .environment import Environment
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import Address, HostId
+
 from .gossipwire import Ack, Ping, ProbeRequest, Push
-from .ids import Address, HostId
 from .swimentries import GossipEntries
 from .swimhosts import (
     ALIVE,
--- a/src/wisteriatiller/swimpush.py
+++ b/src/wisteriatiller/membership/swimpush.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections.abc import Iterable
 
-from .environment import Environment
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import ZoneId
+
 from .gossip import Entry, first_fitting
 from .gossipwire import UPDATES_BYTES, Push
-from .ids import ZoneId
 from .swimentries import GossipEntries
 from .swimhosts import HostTable, KnownHost
 from .swimlink import GossipLink
--- a/src/wisteriatiller/swimzones.py
+++ b/src/wisteriatiller/membership/swimzones.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable
 
-from .environment import Environment
-from .ids import ZoneId
-from .listeners import call_listener
-from .logs import log_event
+from wisteriatiller.foundation import Environment, call_listener, log_event
+from wisteriatiller.ids import ZoneId
+
 from .swimhosts import HostTable, KnownHost
 
 ZONE_TIMEOUT_S = 5.0
--- /dev/null
+++ b/src/wisteriatiller/operations/__init__.py
@@ -0,0 +1,5 @@
+"""A whole host, its process, and the command line."""
+
+from .runtime import Host
+
+__all__ = ["Host"]
--- a/src/wisteriatiller/cli.py
+++ b/src/wisteriatiller/operations/cli.py
@@ -17,29 +17,38 @@
 from cleo.exceptions import CleoError
 from cleo.helpers import argument, option
 
-from . import __version__
-from .admin import AdminClient
-from .config import Configuration
-from .configrecord import RecordInvalid
-from .configstore import Submitted, new_submission_id, read_record, submit
-from .configtext import load_text
-from .exceptions import SettingsError
-from .fleet import Progress, find_hosts, running_revision, wait_in_force
-from .ids import NO_REVISION, Revision, SubmissionId
-from .logs import configure_logs
-from .outcomes import Conflict, StoreUnavailable, Unreachable
-from .platformhosts import PlatformHost
-from .report import FleetReport, merge_reports
-from .settings import load_settings
-from .store_consul import ConsulStore
-from .textcheck import (
+from wisteriatiller import __version__
+from wisteriatiller.configuration import (
     MAX_TEXT_BYTES,
+    Configuration,
     NotAllowed,
+    RecordInvalid,
     TextProblem,
     TextProblems,
     address,
+    load_settings,
+    load_text,
     store_url,
 )
+from wisteriatiller.exceptions import SettingsError
+from wisteriatiller.foundation import configure_logs, merge_reports
+from wisteriatiller.ids import NO_REVISION, Revision, SubmissionId
+from wisteriatiller.outcomes import Conflict, StoreUnavailable, Unreachable
+from wisteriatiller.store import (
+    AdminClient,
+    ConsulStore,
+    PlatformHost,
+    Progress,
+    Submitted,
+    find_hosts,
+    new_submission_id,
+    read_record,
+    running_revision,
+    submit,
+    wait_in_force,
+)
+
+from .tables import format_report, format_table
 
 DONE = 0
 INCOMPLETE = 1
@@ -379,50 +388,5 @@
     return number
 
 
-def format_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
-    cells = [header, *([str(cell) for cell in row] for row in rows)]
-    widths = [max(len(row[i]) for row in cells) for i in range(len(header))]
-    return "\n".join(
-        "  ".join(cell.ljust(w) for cell, w in zip(row, widths, strict=True)).rstrip()
-        for row in cells
-    )
-
-
-def format_report(report: FleetReport) -> str:
-    header = ("service", "objective", "window", "requests", "refused", "unknown")
-    header += ("late", "broken_flows", "p50_ms", "p99_ms", "burn_rate", "budget_left")
-    header += ("imbalance",)
-    rows = []
-    for service in report.services:
-        for name, window in (("5min", service.short), ("1h", service.long)):
-            is_short = name == "5min"
-            rows.append(
-                (
-                    service.service_id,
-                    f"{service.objective:g}",
-                    name,
-                    window.requests,
-                    window.refused,
-                    window.outcome_unknown,
-                    window.late,
-                    window.flows_broken,
-                    format_number(window.p50_ms, ".1f"),
-                    format_number(window.p99_ms, ".1f"),
-                    f"{window.burn_rate:.2f}",
-                    "" if is_short else f"{service.budget_left:.1%}",
-                    format_number(service.imbalance, ".3f") if is_short else "",
-                )
-            )
-    lines = [format_table(header, rows)]
-    lines.append(f"hosts that answered: {len(report.answered_hosts)}")
-    if report.silent_hosts:
-        lines.append(f"hosts without an answer: {', '.join(report.silent_hosts)}")
-    return "\n".join(lines)
-
-
-def format_number(value: float | None, form: str) -> str:
-    return "-" if value is None else format(value, form)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/wisteriatiller/process.py
+++ b/src/wisteriatiller/operations/process.py
@@ -3,19 +3,22 @@
 import asyncio
 import signal
 
-from .admin import AdminServer, revision_view
-from .datagrams import UdpPorts
-from .environment import Environment
-from .exceptions import InvariantBroken
-from .logs import log_event
-from .metrics import NullMetrics, StatsdMetrics
-from .peers import TcpPeers
-from .report import host_report
+from wisteriatiller.configuration import HostSettings
+from wisteriatiller.exceptions import InvariantBroken
+from wisteriatiller.foundation import (
+    Environment,
+    NullMetrics,
+    StatsdMetrics,
+    host_report,
+    log_event,
+    spawn,
+    stop_process,
+)
+from wisteriatiller.store import AdminServer, ConsulStore, revision_view
+from wisteriatiller.transport import TcpPeers, UdpPorts
+
 from .runtime import Host
-from .settings import HostSettings
 from .status import host_status
-from .store_consul import ConsulStore
-from .tasks import spawn, stop_process
 
 EXIT_ABANDONED = 1
 
--- a/src/wisteriatiller/runtime.py
+++ b/src/wisteriatiller/operations/runtime.py
@@ -3,31 +3,28 @@
 import asyncio
 from collections.abc import Coroutine
 
-from .balance import BoundedLoadChooser
-from .config import ConfigSource
-from .configstore import GOSSIP_KEY, ConfigFollower
-from .environment import Environment
-from .flowservice import FlowService
-from .grantors import LeaseGrantor
-from .grantorviews import GrantorViews
-from .handover import Handover
-from .healing import ZoneHealing
-from .homes import Homes
-from .ids import Address, FlowKey, ShardId
-from .ingress import Ingress
-from .lease import MajorityLeases
-from .loads import LoadBoard
-from .logs import log_event
-from .opening import FlowOpener, UpstreamChooser
-from .owner import Owner
-from .ownership import Ownership
-from .ports import DatagramPort
-from .pressure import DependencyPolicy
-from .replication import Replicator
-from .shardtable import ShardTable
-from .swim import SwimMembership
-from .tasks import spawn
-from .upkeep import Upkeep
+from wisteriatiller.configuration import ConfigSource
+from wisteriatiller.foundation import DatagramPort, Environment, log_event, spawn
+from wisteriatiller.ids import Address, FlowKey, ShardId
+from wisteriatiller.leases import GrantorViews, LeaseGrantor, MajorityLeases, Ownership
+from wisteriatiller.membership import SwimMembership
+from wisteriatiller.owners import (
+    BoundedLoadChooser,
+    DependencyPolicy,
+    FlowOpener,
+    FlowService,
+    Handover,
+    Homes,
+    Ingress,
+    LoadBoard,
+    Owner,
+    Replicator,
+    ShardTable,
+    Upkeep,
+    UpstreamChooser,
+    ZoneHealing,
+)
+from wisteriatiller.store import GOSSIP_KEY, ConfigFollower
 
 JOIN_TIMEOUT_S = 5.0
 CONFIG_TIMEOUT_S = 5.0
--- /dev/null
+++ b/src/wisteriatiller/operations/tables.py
@@ -0,0 +1,50 @@
+"""Tables and reports as text for the command line."""
+
+from collections.abc import Sequence
+
+from wisteriatiller.foundation import FleetReport
+
+
+def format_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    cells = [header, *([str(cell) for cell in row] for row in rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(header))]
+    return "\n".join(
+        "  ".join(cell.ljust(w) for cell, w in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    )
+
+
+def format_report(report: FleetReport) -> str:
+    header = ("service", "objective", "window", "requests", "refused", "unknown")
+    header += ("late", "broken_flows", "p50_ms", "p99_ms", "burn_rate", "budget_left")
+    header += ("imbalance",)
+    rows = []
+    for service in report.services:
+        for name, window in (("5min", service.short), ("1h", service.long)):
+            is_short = name == "5min"
+            rows.append(
+                (
+                    service.service_id,
+                    f"{service.objective:g}",
+                    name,
+                    window.requests,
+                    window.refused,
+                    window.outcome_unknown,
+                    window.late,
+                    window.flows_broken,
+                    format_number(window.p50_ms, ".1f"),
+                    format_number(window.p99_ms, ".1f"),
+                    f"{window.burn_rate:.2f}",
+                    "" if is_short else f"{service.budget_left:.1%}",
+                    format_number(service.imbalance, ".3f") if is_short else "",
+                )
+            )
+    lines = [format_table(header, rows)]
+    lines.append(f"hosts that answered: {len(report.answered_hosts)}")
+    if report.silent_hosts:
+        lines.append(f"hosts without an answer: {', '.join(report.silent_hosts)}")
+    return "\n".join(lines)
+
+
+def format_number(value: float | None, form: str) -> str:
+    return "-" if value is None else format(value, form)
--- a/src/wisteriatiller/outcomes.py
+++ b/src/wisteriatiller/outcomes.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import Revision
+from wisteriatiller.ids import Revision
 
 
 class Reason(Enum):
--- a/src/wisteriatiller/backups.py
+++ b/src/wisteriatiller/owners/backups.py
@@ -4,24 +4,22 @@
 
 import msgpack
 
-from . import coapcodec
-from .coapcodec import CoapHead, MessageType
-from .duplicates import (
+from wisteriatiller.foundation import Environment, Message, log_event, message
+from wisteriatiller.ids import FlowKey, HostId, ShardId, UpstreamId
+from wisteriatiller.leases import FormerHolder, ShardLeases
+from wisteriatiller.outcomes import OutcomeUnknown, Reason
+from wisteriatiller.requests import (
     EXCHANGE_LIFETIME_S,
     FINAL_STATES,
     DuplicateTable,
+    Request,
     RequestKey,
     RequestRecord,
     RequestState,
 )
-from .environment import Environment
+from wisteriatiller.transport import CoapHead, MessageType, coapcodec
+
 from .flows import FlowRecord, FlowState, FlowTable
-from .ids import FlowKey, HostId, ShardId, UpstreamId
-from .lease import FormerHolder, ShardLeases
-from .logs import log_event
-from .messages import Message, message
-from .outcomes import OutcomeUnknown, Reason
-from .queueing import Request
 from .shard import OwnedShard
 
 # Records of a shard that nobody updates any more are of use until the last request
--- a/src/wisteriatiller/balance.py
+++ b/src/wisteriatiller/owners/balance.py
@@ -9,9 +9,10 @@
 import statistics
 from dataclasses import dataclass
 
-from .config import ConfigSource, Service
-from .environment import Environment
-from .ids import FlowKey, ServiceId, UpstreamId
+from wisteriatiller.configuration import ConfigSource, Service
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import FlowKey, ServiceId, UpstreamId
+
 from .loads import LoadBoard, UpstreamLoad
 from .opening import UpstreamChooser
 
--- a/src/wisteriatiller/flowmessages.py
+++ b/src/wisteriatiller/owners/flowmessages.py
@@ -1,6 +1,6 @@
 """Messages between hosts about flows and their requests."""
 
-from .messages import Message, message
+from wisteriatiller.foundation import Message, message
 
 
 @message(40)
--- a/src/wisteriatiller/flowplacing.py
+++ b/src/wisteriatiller/owners/flowplacing.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
-from .config import ConfigSource, Service, Upstream
-from .duplicates import EXCHANGE_LIFETIME_S
-from .environment import Environment
+from wisteriatiller.configuration import ConfigSource, Service, Upstream
+from wisteriatiller.foundation import Environment, spawn
+from wisteriatiller.ids import FlowKey, UpstreamId
+from wisteriatiller.outcomes import OutcomeUnknown, Reason, Refused
+from wisteriatiller.requests import EXCHANGE_LIFETIME_S
+
 from .flowmessages import Forward
 from .flows import FlowRecord, FlowState
 from .homes import Homes
-from .ids import FlowKey, UpstreamId
 from .opening import FlowOpener
-from .outcomes import OutcomeUnknown, Reason, Refused
 from .replies import CallerReplies
 from .shard import OwnedShard
-from .tasks import spawn
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisteriatiller/flows.py
+++ b/src/wisteriatiller/owners/flows.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .ids import FlowKey, UpstreamId
+from wisteriatiller.ids import FlowKey, UpstreamId
 
 
 class FlowState(Enum):
--- a/src/wisteriatiller/flowservice.py
+++ b/src/wisteriatiller/owners/flowservice.py
@@ -1,8 +1,10 @@
 """Answers to other owners' questions about flows."""
 
-from .config import ConfigSource
-from .duplicates import EXCHANGE_LIFETIME_S
-from .environment import Environment
+from wisteriatiller.configuration import ConfigSource
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import FlowKey, HostId, UpstreamId
+from wisteriatiller.requests import EXCHANGE_LIFETIME_S
+
 from .flowmessages import (
     CheckAnswer,
     CheckFlows,
@@ -14,7 +16,6 @@
     PlacedFlows,
 )
 from .flows import FlowRecord, FlowState
-from .ids import FlowKey, HostId, UpstreamId
 from .shard import OwnedShard
 from .shardtable import ShardTable
 
--- a/src/wisteriatiller/handover.py
+++ b/src/wisteriatiller/owners/handover.py
@@ -13,21 +13,22 @@
 
 import msgpack
 
-from . import coapcodec
-from .dispatch import UpstreamDispatcher
-from .duplicates import RequestRecord, RequestState
-from .environment import Environment
-from .exceptions import MessageError
-from .ids import CallerId, FlowKey, HostId, ShardId, UpstreamId
-from .lease import MajorityLeases
-from .logs import log_event
-from .messages import Message, message
-from .ownership import Ownership
-from .queueing import Request
-from .replication import Replicator, ShardReplica
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.foundation import Environment, Message, log_event, message, spawn
+from wisteriatiller.ids import CallerId, FlowKey, HostId, ShardId, UpstreamId
+from wisteriatiller.leases import MajorityLeases, Ownership
+from wisteriatiller.requests import (
+    Request,
+    RequestRecord,
+    RequestState,
+    UpstreamDispatcher,
+)
+from wisteriatiller.transport import coapcodec
+
+from .replication import Replicator
 from .shard import OwnedShard
+from .shardreplica import ShardReplica
 from .shardtable import ShardTable
-from .tasks import spawn
 
 CHECK_INTERVAL_S = 1.0
 # A host that came back must stay the first in rank for this long.
--- a/src/wisteriatiller/healing.py
+++ b/src/wisteriatiller/owners/healing.py
@@ -2,14 +2,15 @@
 
 import asyncio
 
-from .config import ConfigSource
-from .environment import Environment
+from wisteriatiller.configuration import ConfigSource
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import FlowKey, UpstreamId, ZoneId
+from wisteriatiller.leases import Ownership
+from wisteriatiller.membership import Membership
+
 from .flowmessages import PlacedAnswer, PlacedFlows
 from .flows import FlowRecord, FlowState
 from .homes import Homes
-from .ids import FlowKey, UpstreamId, ZoneId
-from .membership import Membership
-from .ownership import Ownership
 from .shard import OwnedShard
 from .shardtable import ShardTable
 
--- a/src/wisteriatiller/homes.py
+++ b/src/wisteriatiller/owners/homes.py
@@ -1,8 +1,8 @@
 """The home of a flow among the upstreams that this host can reach."""
 
-from .config import ConfigSource
-from .ids import FlowKey, ServiceId, UpstreamId
-from .membership import Membership
+from wisteriatiller.configuration import ConfigSource
+from wisteriatiller.ids import FlowKey, ServiceId, UpstreamId
+from wisteriatiller.membership import Membership
 
 
 class Homes:
--- a/src/wisteriatiller/ingress.py
+++ b/src/wisteriatiller/owners/ingress.py
@@ -2,15 +2,20 @@
 
 from dataclasses import dataclass
 
-from . import proxyheader
-from .config import ConfigSource, Configuration, RequestMode, Service
-from .environment import Environment
-from .exceptions import MessageError
+from wisteriatiller.configuration import (
+    ConfigSource,
+    Configuration,
+    RequestMode,
+    Service,
+)
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.foundation import DatagramPort, Environment
+from wisteriatiller.ids import Address, FlowKey, HostId, UpstreamId
+from wisteriatiller.transport import proxyheader
+
 from .flowmessages import Forward, PinFlow
 from .homes import Homes
-from .ids import Address, FlowKey, HostId, UpstreamId
 from .owner import Owner
-from .ports import DatagramPort
 
 # The pin of an opaque flow is confirmed through its owner this often, so that the
 # owner's record does not idle out while datagrams bypass the owner.
--- a/src/wisteriatiller/loads.py
+++ b/src/wisteriatiller/owners/loads.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .config import ConfigSource, Configuration, Service
-from .dispatch import UpstreamDispatcher
-from .environment import Environment
-from .ids import HostId, ServiceId, UpstreamId
-from .messages import Message, message
-from .ownership import Ownership
+from wisteriatiller.configuration import ConfigSource, Configuration, Service
+from wisteriatiller.foundation import Environment, Message, message
+from wisteriatiller.ids import HostId, ServiceId, UpstreamId
+from wisteriatiller.leases import Ownership
+from wisteriatiller.requests import UpstreamDispatcher
+
 from .shardtable import ShardTable
 
 SUMMARY_INTERVAL_S = 1.0
--- a/src/wisteriatiller/opening.py
+++ b/src/wisteriatiller/owners/opening.py
@@ -4,14 +4,15 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from .config import ConfigSource, Service
-from .environment import Environment
+from wisteriatiller.configuration import ConfigSource, Service
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import FlowKey, UpstreamId
+from wisteriatiller.leases import Ownership
+from wisteriatiller.outcomes import OutcomeUnknown, Reason
+from wisteriatiller.placement import earlier_homes
+
 from .flowmessages import ClaimAnswer, ClaimFlow, Forward, OpenAnswer, OpenFlow
 from .homes import Homes
-from .ids import FlowKey, UpstreamId
-from .outcomes import OutcomeUnknown, Reason
-from .ownership import Ownership
-from .placement import earlier_homes
 
 CLAIM_TIMEOUT_S = 0.2
 CLAIM_ATTEMPTS = 3
--- a/src/wisteriatiller/owner.py
+++ b/src/wisteriatiller/owners/owner.py
@@ -4,23 +4,31 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from . import coapcodec, proxyheader
-from .config import ConfigSource, RequestMode, Service, Upstream
-from .duplicates import FINAL_STATES, RequestKey
-from .environment import Environment
-from .exceptions import MessageError, check_invariant
+from wisteriatiller.configuration import ConfigSource, RequestMode, Service, Upstream
+from wisteriatiller.exceptions import MessageError, check_invariant
+from wisteriatiller.foundation import Environment, spawn
+from wisteriatiller.ids import (
+    Address,
+    CallerId,
+    FlowKey,
+    HostId,
+    Revision,
+    ShardId,
+    UpstreamId,
+)
+from wisteriatiller.leases import Ownership
+from wisteriatiller.outcomes import Reason, Refused
+from wisteriatiller.requests import FINAL_STATES, RequestKey
+from wisteriatiller.transport import coapcodec, proxyheader
+
 from .flowmessages import Forward, PinFlow
 from .flowplacing import FlowPlacer, FlowRoutes
 from .flows import FlowRecord, FlowState
 from .homes import Homes
-from .ids import Address, CallerId, FlowKey, HostId, Revision, ShardId, UpstreamId
 from .opening import FlowOpener
-from .outcomes import Reason, Refused
-from .ownership import Ownership
 from .replies import AnswerCaller, CallerReplies
 from .shard import OwnedShard
 from .shardtable import ShardTable
-from .tasks import spawn
 
 MAX_HOPS = 5
 # A request that finds no owner is tried again for this long: a planned hand-over
--- a/src/wisteriatiller/pressure.py
+++ b/src/wisteriatiller/owners/pressure.py
@@ -1,11 +1,12 @@
 """Early refusal at services whose dependencies cannot take more requests."""
 
-from .config import ConfigSource, Configuration
-from .dispatch import DispatchPolicy
-from .environment import Environment
-from .ids import CallerId, ServiceId
+from wisteriatiller.configuration import ConfigSource, Configuration
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import CallerId, ServiceId
+from wisteriatiller.outcomes import Reason
+from wisteriatiller.requests import DispatchPolicy
+
 from .loads import LoadBoard, dependencies
-from .outcomes import Reason
 
 # Requests are refused with a probability that rises from 0 at this pressure to 1 at
 # full pressure. Refusing all or none would swing with the second's delay of the
--- a/src/wisteriatiller/replies.py
+++ b/src/wisteriatiller/owners/replies.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
-from . import coapcodec, proxyheader
-from .config import ConfigSource, RequestMode, Service
-from .environment import Environment
-from .exceptions import MessageError
+from wisteriatiller.configuration import ConfigSource, RequestMode, Service
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import FlowKey
+from wisteriatiller.outcomes import OutcomeUnknown, Reason, Refused
+from wisteriatiller.transport import coapcodec, proxyheader
+
 from .flowmessages import Forward
-from .ids import FlowKey
-from .outcomes import OutcomeUnknown, Reason, Refused
 
 AnswerCaller = Callable[[FlowKey, bytes], None]
 
--- a/src/wisteriatiller/shard.py
+++ b/src/wisteriatiller/owners/shard.py
@@ -3,12 +3,16 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from .dispatch import DispatchGate, UpstreamDispatcher
-from .duplicates import DuplicateTable
+from wisteriatiller.ids import FlowKey, ShardId, UpstreamId
+from wisteriatiller.leases import ShardLeases
+from wisteriatiller.requests import (
+    DispatchGate,
+    DuplicateTable,
+    Request,
+    UpstreamDispatcher,
+)
+
 from .flows import FlowTable
-from .ids import FlowKey, ShardId, UpstreamId
-from .lease import ShardLeases
-from .queueing import Request
 
 
 class ShardRecorder(ABC):
--- a/src/wisteriatiller/shardtable.py
+++ b/src/wisteriatiller/owners/shardtable.py
@@ -2,15 +2,19 @@
 
 from collections.abc import Iterator
 
-from .config import ConfigSource, Configuration, Upstream
-from .dispatch import DispatchPolicy, UpstreamDispatcher
-from .environment import Environment
-from .exceptions import check_invariant
-from .health import HealthListener, UpstreamHealth
-from .ids import FlowKey, ShardId, UpstreamId
-from .lease import ShardLeases
-from .ports import DatagramPort
-from .queueing import Request
+from wisteriatiller.configuration import ConfigSource, Configuration, Upstream
+from wisteriatiller.exceptions import check_invariant
+from wisteriatiller.foundation import DatagramPort, Environment
+from wisteriatiller.ids import FlowKey, ShardId, UpstreamId
+from wisteriatiller.leases import ShardLeases
+from wisteriatiller.requests import (
+    DispatchPolicy,
+    HealthListener,
+    Request,
+    UpstreamDispatcher,
+    UpstreamHealth,
+)
+
 from .shard import OwnedShard
 
 
--- a/src/wisteriatiller/upkeep.py
+++ b/src/wisteriatiller/owners/upkeep.py
@@ -2,15 +2,14 @@
 
 import asyncio
 
-from .config import ConfigSource, Configuration
-from .duplicates import EXCHANGE_LIFETIME_S
-from .environment import Environment
+from wisteriatiller.configuration import ConfigSource, Configuration
+from wisteriatiller.foundation import Environment, log_event
+from wisteriatiller.ids import FlowKey, UpstreamId
+from wisteriatiller.leases import Ownership
+from wisteriatiller.requests import EXCHANGE_LIFETIME_S, PROBE_INTERVAL_S, HealthEvent
+
 from .flowmessages import CheckAnswer, CheckFlows
 from .flows import FlowRecord, FlowState
-from .health import PROBE_INTERVAL_S, HealthEvent
-from .ids import FlowKey, UpstreamId
-from .logs import log_event
-from .ownership import Ownership
 from .shard import OwnedShard
 from .shardtable import ShardTable
 
--- a/src/wisteriatiller/placement.py
+++ b/src/wisteriatiller/placement.py
@@ -11,7 +11,7 @@
 
 from xxhash import xxh3_64_intdigest, xxh64_intdigest
 
-from .ids import FlowKey, HostId, ShardId, UpstreamId, ZoneId
+from wisteriatiller.ids import FlowKey, HostId, ShardId, UpstreamId, ZoneId
 
 _HASH_RANGE = float(1 << 64)
 
--- /dev/null
+++ b/src/wisteriatiller/requests/__init__.py
@@ -0,0 +1,30 @@
+"""A request at its owner: limits, queues, duplicates, retries and health."""
+
+from .dispatch import DispatchGate, DispatchPolicy, UpstreamDispatcher
+from .duplicates import (
+    EXCHANGE_LIFETIME_S,
+    FINAL_STATES,
+    DuplicateTable,
+    RequestKey,
+    RequestRecord,
+    RequestState,
+)
+from .health import PROBE_INTERVAL_S, HealthEvent, HealthListener, UpstreamHealth
+from .queueing import Request
+
+__all__ = [
+    "EXCHANGE_LIFETIME_S",
+    "FINAL_STATES",
+    "PROBE_INTERVAL_S",
+    "DispatchGate",
+    "DispatchPolicy",
+    "DuplicateTable",
+    "HealthEvent",
+    "HealthListener",
+    "Request",
+    "RequestKey",
+    "RequestRecord",
+    "RequestState",
+    "UpstreamDispatcher",
+    "UpstreamHealth",
+]
--- a/src/wisteriatiller/admission.py
+++ b/src/wisteriatiller/requests/admission.py
@@ -7,11 +7,12 @@
 import math
 from collections.abc import Collection
 
-from .config import Service, Upstream
-from .environment import Environment
+from wisteriatiller.configuration import Service, Upstream
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import CallerId
+from wisteriatiller.outcomes import Reason, Refused
+
 from .health import UpstreamHealth
-from .ids import CallerId
-from .outcomes import Reason, Refused
 from .queueing import FairQueue, Request
 
 # Share of the capacity that callers told to come back may use; the rest is left to
--- a/src/wisteriatiller/dispatch.py
+++ b/src/wisteriatiller/requests/dispatch.py
@@ -4,10 +4,14 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from . import coapcodec, proxyheader
+from wisteriatiller.configuration import RequestMode, Service, Upstream
+from wisteriatiller.exceptions import check_invariant
+from wisteriatiller.foundation import Environment, RequestOutcome
+from wisteriatiller.ids import CallerId, FlowKey, ServiceId, UpstreamId
+from wisteriatiller.outcomes import OutcomeUnknown, Reason, Refused
+from wisteriatiller.transport import CoapHead, MessageType, coapcodec, proxyheader
+
 from .admission import Admission
-from .coapcodec import CoapHead, MessageType
-from .config import RequestMode, Service, Upstream
 from .duplicates import (
     FINAL_STATES,
     DuplicateTable,
@@ -15,14 +19,9 @@
     RequestRecord,
     RequestState,
 )
-from .environment import Environment
-from .exceptions import check_invariant
 from .health import HealthEvent, UpstreamHealth
-from .ids import CallerId, FlowKey, ServiceId, UpstreamId
 from .inflight import InFlightRequests, payload_for_caller
-from .outcomes import OutcomeUnknown, Reason, Refused
 from .queueing import FairQueue, Request
-from .report import RequestOutcome
 from .retries import (
     KEPT_FOR_UNANSWERED,
     MAX_DISPATCHES,
--- a/src/wisteriatiller/duplicates.py
+++ b/src/wisteriatiller/requests/duplicates.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from .ids import FlowKey, UpstreamId
+from wisteriatiller.ids import FlowKey, UpstreamId
 
 # RFC 7252 section 4.8.2: the time within which a message id is not used again.
 EXCHANGE_LIFETIME_S = 247.0
--- a/src/wisteriatiller/health.py
+++ b/src/wisteriatiller/requests/health.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 from enum import Enum
 
-from . import proxyheader
-from .environment import Environment
-from .exceptions import MessageError
-from .ids import UpstreamId
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import UpstreamId
+from wisteriatiller.transport import proxyheader
 
 PROBE_INTERVAL_S = 1.0
 PROBE_LIFETIME_S = 5.0
--- a/src/wisteriatiller/inflight.py
+++ b/src/wisteriatiller/requests/inflight.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Callable, ValuesView
 
-from . import proxyheader
-from .coapcodec import CoapHead, MessageType
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import FlowKey
+from wisteriatiller.transport import CoapHead, MessageType, proxyheader
+
 from .duplicates import EXCHANGE_LIFETIME_S, DuplicateTable, RequestKey
-from .environment import Environment
 from .health import UpstreamHealth
-from .ids import FlowKey
 from .queueing import Request
 from .retries import UpstreamMessageIds, with_message_id
 
--- a/src/wisteriatiller/queueing.py
+++ b/src/wisteriatiller/requests/queueing.py
@@ -3,9 +3,10 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass
 
-from .coapcodec import CoapHead
+from wisteriatiller.ids import CallerId, FlowKey
+from wisteriatiller.transport import CoapHead
+
 from .duplicates import RequestKey, RequestRecord
-from .ids import CallerId, FlowKey
 
 
 @dataclass(slots=True, eq=False)
--- a/src/wisteriatiller/retries.py
+++ b/src/wisteriatiller/requests/retries.py
@@ -2,9 +2,10 @@
 
 from collections import deque
 
+from wisteriatiller.foundation import Environment
+from wisteriatiller.ids import FlowKey
+
 from .duplicates import EXCHANGE_LIFETIME_S
-from .environment import Environment
-from .ids import FlowKey
 
 # Repeats may add a tenth to the upstream's load. A higher share would let retries
 # keep an overload going.
--- a/src/wisteriatiller/admin.py
+++ b/src/wisteriatiller/store/admin.py
@@ -15,10 +15,11 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from wisteriatiller.foundation import log_event
+from wisteriatiller.ids import Address, HostId
+from wisteriatiller.outcomes import Reason, Unreachable
+
 from .configstore import ConfigFollower
-from .ids import Address, HostId
-from .logs import log_event
-from .outcomes import Reason, Unreachable
 from .platformhosts import PlatformHost
 
 # Requests have no body; a larger one is an error or an attack.
--- a/src/wisteriatiller/fleet.py
+++ b/src/wisteriatiller/store/fleet.py
@@ -4,11 +4,19 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from wisteriatiller.foundation import Store
+from wisteriatiller.ids import (
+    NO_REVISION,
+    Address,
+    HostId,
+    Revision,
+    SubmissionId,
+    ZoneId,
+)
+from wisteriatiller.outcomes import StoreUnavailable, Unreachable
+
 from .admin import AdminClient
-from .ids import NO_REVISION, Address, HostId, Revision, SubmissionId, ZoneId
-from .outcomes import StoreUnavailable, Unreachable
 from .platformhosts import PlatformHost, read_platform_hosts
-from .ports import Store
 
 POLL_INTERVAL_S = 0.5
 POLL_TIMEOUT_S = 2.0
--- a/src/wisteriatiller/platformhosts.py
+++ b/src/wisteriatiller/store/platformhosts.py
@@ -3,10 +3,10 @@
 import json
 from dataclasses import dataclass
 
-from .ids import Address, HostId, ZoneId
-from .outcomes import StoreUnavailable
-from .ports import Store, StoreEntry
-from .textcheck import NotAllowed, address, identifier
+from wisteriatiller.configuration import NotAllowed, address, identifier
+from wisteriatiller.foundation import Store, StoreEntry
+from wisteriatiller.ids import Address, HostId, ZoneId
+from wisteriatiller.outcomes import StoreUnavailable
 
 HOSTS_KEY = "platform/hosts"
 
--- a/src/wisteriatiller/store_consul.py
+++ b/src/wisteriatiller/store/store_consul.py
@@ -7,9 +7,9 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
 
-from .ids import NO_REVISION
-from .outcomes import Conflict, StoreUnavailable
-from .ports import Store, StoreEntry, StoreMissing
+from wisteriatiller.foundation import Store, StoreEntry, StoreMissing
+from wisteriatiller.ids import NO_REVISION
+from wisteriatiller.outcomes import Conflict, StoreUnavailable
 
 CONNECT_TIMEOUT_S = 1.0
 REQUEST_TIMEOUT_S = 3.0
--- /dev/null
+++ b/src/wisteriatiller/store/submission.py
@@ -0,0 +1,195 @@
+"""Submitting a configuration to the store.
+
+``submit`` writes the store key ``config/current`` by compare-and-swap::
+
+    outcome = await submit(store, configuration, new_submission_id())
+    if isinstance(outcome, Submitted):
+        print(outcome.revision)
+"""
+
+import asyncio
+import uuid
+from dataclasses import dataclass
+
+from wisteriatiller.configuration import (
+    NO_RECORD,
+    ConfigRecord,
+    Configuration,
+    RecordInvalid,
+    TextProblem,
+    TextProblems,
+    decode_record,
+    encode_record,
+    next_record,
+)
+from wisteriatiller.foundation import (
+    Store,
+    StoreEntry,
+    StoreMissing,
+)
+from wisteriatiller.ids import NO_REVISION, Revision, SubmissionId
+from wisteriatiller.outcomes import Conflict, StoreUnavailable
+
+CONFIG_KEY = "config/current"
+READ_BACK_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    """The text is in the store; ``unchanged`` if it already was before."""
+
+    revision: Revision
+    submission_id: SubmissionId
+    unchanged: bool = False
+
+
+def new_submission_id() -> SubmissionId:
+    return SubmissionId(uuid.uuid4().hex)
+
+
+def check_successor(
+    former: Configuration, submitted: Configuration, name: str
+) -> TextProblems | None:
+    """Refuse changes that could give an upstream two owners.
+
+    The shard of an upstream follows from its id, its zone and ``shard_count``. Hosts
+    take a revision at different moments, so two of them would hold valid leases of
+    different shards for one upstream if any of these changed, or if one upstream
+    address moved to another id.
+    """
+    problems = []
+
+    def refuse(key_path: str, found: object, allowed: str) -> None:
+        problems.append(TextProblem(name, 1, key_path, str(found), allowed))
+
+    if former.revision and submitted.shard_count != former.shard_count:
+        allowed = f"{former.shard_count}, as in revision {former.revision}"
+        refuse("shard_count", submitted.shard_count, allowed)
+    for upstream in submitted.upstreams.values():
+        path = f"services.{upstream.service_id}.upstreams.{upstream.upstream_id}"
+        known = former.upstreams.get(upstream.upstream_id)
+        if known is not None:
+            for key in ("service_id", "zone", "address"):
+                if getattr(known, key) != getattr(upstream, key):
+                    allowed = f"{getattr(known, key)} for this id, or a new id"
+                    refuse(f"{path}.{key}", getattr(upstream, key), allowed)
+        holder = former.upstream_by_address.get(upstream.address)
+        if holder is not None and holder.upstream_id != upstream.upstream_id:
+            found = f"{upstream.address}, the address of {holder.upstream_id}"
+            refuse(f"{path}.address", found, f"the id {holder.upstream_id} for it")
+    return TextProblems(tuple(problems)) if problems else None
+
+
+async def read_record(
+    store: Store, wait_index: int = 0, wait_s: float = 0.0
+) -> tuple[ConfigRecord, int, bytes] | RecordInvalid | StoreUnavailable:
+    """The record of the store, its index and its bytes; ``NO_RECORD`` if none."""
+    entry = await store.get(CONFIG_KEY, wait_index, wait_s)
+    if isinstance(entry, StoreUnavailable):
+        return entry
+    if isinstance(entry, StoreMissing):
+        return NO_RECORD, entry.index, b""
+    record = decode_record(entry.value)
+    if isinstance(record, RecordInvalid):
+        return record
+    return record, entry.index, entry.value
+
+
+SubmitOutcome = Submitted | Conflict | TextProblems | StoreUnavailable
+
+
+async def submit(
+    store: Store,
+    submitted: Configuration,
+    submission_id: SubmissionId,
+    *,
+    name: str = "text",
+    expected_revision: Revision | None = None,
+    running_revision: Revision = NO_REVISION,
+    timeout_s: float = 10.0,
+) -> SubmitOutcome:
+    """Write a checked configuration as the next revision.
+
+    A text that is already in force is not written again. ``expected_revision`` is the
+    one that the operator edited; any other gives a ``Conflict``. ``running_revision``
+    is the highest that live hosts run: a store with a lower one lost data, and the
+    hosts have to write it back first. ``StoreUnavailable`` means that the store did
+    not answer in ``timeout_s``; the same submission id may be submitted again.
+    """
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    attempt = _Submission(store, submitted, submission_id, name, running_revision)
+    while True:
+        outcome = await attempt.step(expected_revision)
+        if not isinstance(outcome, StoreUnavailable):
+            return outcome
+        if attempt.wrote:
+            outcome = StoreUnavailable(outcome.detail, may_have_written=True)
+        if loop.time() + READ_BACK_INTERVAL_S > deadline_s:
+            return outcome
+        await asyncio.sleep(READ_BACK_INTERVAL_S)
+
+
+class _Submission:
+    """One submission over its attempts.
+
+    All attempts swap against the index of the first read. If an answer is lost, at
+    most one of them takes effect, and the store's history tells which.
+    """
+
+    def __init__(self, store, submitted, submission_id, name, running_revision):
+        self._store = store
+        self._submitted = submitted
+        self._submission_id = submission_id
+        self._name = name
+        self._running_revision = running_revision
+        self._base: tuple[Revision, SubmissionId] | None = None
+        self.wrote = False
+
+    async def step(self, expected_revision: Revision | None) -> SubmitOutcome:
+        read = await read_record(self._store)
+        if isinstance(read, StoreUnavailable):
+            return read
+        if isinstance(read, RecordInvalid):
+            return StoreUnavailable(f"{CONFIG_KEY}: {read.detail}")
+        former, index, _ = read
+        if former.contains(self._submission_id):
+            return Submitted(self._own_revision(former), self._submission_id)
+        if former.revision < self._running_revision:
+            return StoreUnavailable(
+                f"the store holds revision {former.revision}, older than revision "
+                f"{self._running_revision} of the hosts, which write it back"
+            )
+        if former.revision and former.configuration.text == self._submitted.text:
+            return Submitted(former.revision, former.submission_id, unchanged=True)
+        base = (former.revision, former.submission_id)
+        if self._base is None:
+            self._base = base
+        unexpected = expected_revision not in (None, former.revision)
+        if self._base != base or unexpected:
+            return Conflict(former.revision)
+        return await self._write(former, index)
+
+    async def _write(self, former: ConfigRecord, index: int) -> SubmitOutcome:
+        problems = check_successor(former.configuration, self._submitted, self._name)
+        if problems is not None:
+            return problems
+        record = next_record(former, self._submitted, self._submission_id)
+        data = encode_record(record)
+        if isinstance(data, RecordInvalid):
+            problem = TextProblem(self._name, 1, "", data.detail, "a smaller text")
+            return TextProblems((problem,))
+        self.wrote = True
+        written = await self._store.compare_and_swap(
+            CONFIG_KEY, data, index if former.revision else 0
+        )
+        if isinstance(written, StoreEntry):
+            return Submitted(record.revision, self._submission_id)
+        if isinstance(written, Conflict):
+            # The next attempt reads who was first; it may have been this submission.
+            return StoreUnavailable("another write came first")
+        return written
+
+    def _own_revision(self, record: ConfigRecord) -> Revision:
+        chain = (record.submission_id, *record.history)
+        return Revision(record.revision - chain.index(self._submission_id))
--- a/src/wisteriatiller/coapcodec.py
+++ b/src/wisteriatiller/transport/coapcodec.py
@@ -7,8 +7,8 @@
 import aiocoap
 from aiocoap.error import Error as CoapError
 
-from .exceptions import MessageError
-from .outcomes import OutcomeUnknown, Refused
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.outcomes import OutcomeUnknown, Refused
 
 MAX_MAX_AGE_S = 3600
 _IDEMPOTENT_CODES = frozenset((aiocoap.GET, aiocoap.FETCH))
--- a/src/wisteriatiller/datagrams.py
+++ b/src/wisteriatiller/transport/datagrams.py
@@ -3,11 +3,17 @@
 import asyncio
 import socket
 
-from .exceptions import InvariantBroken
-from .ids import Address
-from .logs import log_event, log_event_limited
-from .ports import DatagramPort, DatagramPorts, Metrics, ReceiveDatagram
-from .tasks import stop_process
+from wisteriatiller.exceptions import InvariantBroken
+from wisteriatiller.foundation import (
+    DatagramPort,
+    DatagramPorts,
+    Metrics,
+    ReceiveDatagram,
+    log_event,
+    log_event_limited,
+    stop_process,
+)
+from wisteriatiller.ids import Address
 
 # Reading several datagrams at a wake-up spreads the cost of the event loop's turn;
 # the limit keeps a flooded socket from starving timers and streams.
--- a/src/wisteriatiller/peernode.py
+++ b/src/wisteriatiller/transport/peernode.py
@@ -9,13 +9,22 @@
 
 import msgpack
 
-from .exceptions import InvariantBroken, MessageError
-from .ids import HostId
-from .logs import log_event, log_event_limited
-from .messages import MAX_MESSAGE_BYTES, Message, decode, encode
-from .outcomes import Reason, Unreachable
-from .ports import Metrics, PeerHandler, PeerPort
-from .tasks import spawn, stop_process
+from wisteriatiller.exceptions import InvariantBroken, MessageError
+from wisteriatiller.foundation import (
+    MAX_MESSAGE_BYTES,
+    Message,
+    Metrics,
+    PeerHandler,
+    PeerPort,
+    decode,
+    encode,
+    log_event,
+    log_event_limited,
+    spawn,
+    stop_process,
+)
+from wisteriatiller.ids import HostId
+from wisteriatiller.outcomes import Reason, Unreachable
 
 MAX_FRAME_BYTES = MAX_MESSAGE_BYTES + 1024
 
--- a/src/wisteriatiller/peers.py
+++ b/src/wisteriatiller/transport/peers.py
@@ -18,14 +18,13 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from .digests import DIGEST_BYTES, sign, verify
-from .exceptions import MessageError
-from .ids import Address, HostId
-from .logs import log_event_limited
+from wisteriatiller.configuration import HostSettings
+from wisteriatiller.digests import DIGEST_BYTES, sign, verify
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.foundation import Metrics, log_event_limited, spawn
+from wisteriatiller.ids import Address, HostId
+
 from .peernode import MAX_FRAME_BYTES, PeerNode
-from .ports import Metrics
-from .settings import HostSettings
-from .tasks import spawn
 
 NONCE_BYTES = 16
 MAX_QUEUED_FRAMES = 8192
--- a/src/wisteriatiller/proxyheader.py
+++ b/src/wisteriatiller/transport/proxyheader.py
@@ -23,8 +23,8 @@
 from proxyprotocol.tlv import ProxyProtocolTLV
 from proxyprotocol.v2 import ProxyProtocolV2
 
-from .exceptions import MessageError
-from .ids import Address, FlowKey
+from wisteriatiller.exceptions import MessageError
+from wisteriatiller.ids import Address, FlowKey
 
 SIGNATURE = b"\r\n\r\n\x00\r\nQUIT\n"
 PREFIX_BYTES = 16
--- a/testbed/bench_control.py
+++ b/testbed/bench_control.py
@@ -33,10 +33,17 @@
     run_virtual,
 )
 from tests.fleet import ZONES, Fleet, build_services
-from wisteriatiller import proxyheader
-from wisteriatiller.config import Configuration, RequestMode, Service, Upstream
-from wisteriatiller.configrecord import ConfigRecord, decode_record, encode_record
-from wisteriatiller.configstore import Submitted, new_submission_id, submit
+from wisteriatiller.configuration.config import (
+    Configuration,
+    RequestMode,
+    Service,
+    Upstream,
+)
+from wisteriatiller.configuration.configrecord import (
+    ConfigRecord,
+    decode_record,
+    encode_record,
+)
 from wisteriatiller.ids import (
     Address,
     FlowKey,
@@ -46,8 +53,10 @@
     UpstreamId,
     ZoneId,
 )
-from wisteriatiller.shard import OwnedShard
-from wisteriatiller.shardtable import ShardTable
+from wisteriatiller.owners.shard import OwnedShard
+from wisteriatiller.owners.shardtable import ShardTable
+from wisteriatiller.store.submission import Submitted, new_submission_id, submit
+from wisteriatiller.transport import proxyheader
 
 # IPv4 with UDP, and IPv4 with TCP and timestamps, of each datagram or segment.
 UDP_HEADER_BYTES = 28
@@ -354,7 +363,7 @@
                 f"{text_of(results[-1])}"
             )
         print_lines("control_memory", factor, seed, xs, results)
-    code = "import resource, wisteriatiller.cli, wisteriatiller.process;"
+    code = "import resource, wisteriatiller.operations.cli;"
     code += "print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)"
     command = [sys.executable, "-c", code]
     answer = subprocess.run(command, capture_output=True, text=True, check=True)
--- a/testbed/bench_datapath.py
+++ b/testbed/bench_datapath.py
@@ -25,32 +25,30 @@
 
 from testbed.cluster import ROOT, free_subnet
 from tests.fakes import FakeStore
-from wisteriatiller.backups import BackupShard, ReplicaPart
-from wisteriatiller.config import Configuration, RequestMode, Service, Upstream
-from wisteriatiller.configstore import new_submission_id, submit
-from wisteriatiller.datagrams import UdpPorts
-from wisteriatiller.duplicates import (
+from wisteriatiller.configuration.config import (
+    Configuration,
+    RequestMode,
+    Service,
+    Upstream,
+)
+from wisteriatiller.configuration.settings import HostSettings, Seed
+from wisteriatiller.foundation.environment import Environment
+from wisteriatiller.foundation.metrics import NullMetrics
+from wisteriatiller.ids import Address, FlowKey, HostId, ServiceId, UpstreamId, ZoneId
+from wisteriatiller.operations.runtime import Host
+from wisteriatiller.owners.backups import BackupShard, ReplicaPart
+from wisteriatiller.owners.flows import FlowRecord, FlowState, FlowTable
+from wisteriatiller.placement import rank_hosts, shard_of
+from wisteriatiller.requests.duplicates import (
     DuplicateTable,
     RequestKey,
     RequestRecord,
     RequestState,
 )
-from wisteriatiller.environment import Environment
-from wisteriatiller.flows import FlowRecord, FlowState, FlowTable
-from wisteriatiller.ids import (
-    Address,
-    FlowKey,
-    HostId,
-    ServiceId,
-    UpstreamId,
-    ZoneId,
-)
-from wisteriatiller.metrics import NullMetrics
-from wisteriatiller.peers import TcpPeers
-from wisteriatiller.placement import rank_hosts, shard_of
-from wisteriatiller.platformhosts import HOSTS_KEY
-from wisteriatiller.runtime import Host
-from wisteriatiller.settings import HostSettings, Seed
+from wisteriatiller.store.platformhosts import HOSTS_KEY
+from wisteriatiller.store.submission import new_submission_id, submit
+from wisteriatiller.transport.datagrams import UdpPorts
+from wisteriatiller.transport.peers import TcpPeers
 
 ZONE = ZoneId("brest")
 HOSTS = (HostId("host-1"), HostId("host-2"))
--- a/testbed/bench_membership.py
+++ b/testbed/bench_membership.py
@@ -18,11 +18,11 @@
 from absl import logging
 
 from tests.fakes import FakeNetwork, run_virtual
+from wisteriatiller.foundation.messages import Message, message
+from wisteriatiller.foundation.metrics import NullMetrics
 from wisteriatiller.ids import Address
-from wisteriatiller.messages import Message, message
-from wisteriatiller.metrics import NullMetrics
-from wisteriatiller.peers import TcpPeers
-from wisteriatiller.swim import SwimMembership
+from wisteriatiller.membership.swim import SwimMembership
+from wisteriatiller.transport.peers import TcpPeers
 
 # IPv4 and UDP headers, which the counters of the program leave out.
 HEADER_BYTES = 28
--- a/testbed/bench_placement.py
+++ b/testbed/bench_placement.py
@@ -22,12 +22,12 @@
 
 from tests.fakes import run_virtual
 from tests.fleet import Fleet, wait_until
-from wisteriatiller.backups import BackupShards
-from wisteriatiller.balance import BoundedLoadChooser
-from wisteriatiller.flows import FlowTable
 from wisteriatiller.ids import ServiceId, UpstreamId
-from wisteriatiller.opening import FlowOpener
-from wisteriatiller.runtime import Host
+from wisteriatiller.operations.runtime import Host
+from wisteriatiller.owners.backups import BackupShards
+from wisteriatiller.owners.balance import BoundedLoadChooser
+from wisteriatiller.owners.flows import FlowTable
+from wisteriatiller.owners.opening import FlowOpener
 
 SERVICE = "stock-browser"
 FLOWS = 300
--- a/testbed/bench_policy.py
+++ b/testbed/bench_policy.py
@@ -16,9 +16,9 @@
 import statistics
 import time
 
-from wisteriatiller import proxyheader
-from wisteriatiller.dispatch import DispatchPolicy
 from wisteriatiller.ids import UpstreamId
+from wisteriatiller.requests.dispatch import DispatchPolicy
+from wisteriatiller.transport import proxyheader
 
 from .policyworld import Flow, Result, Sizes, World, run_virtual
 
--- a/testbed/cluster.py
+++ b/testbed/cluster.py
@@ -251,7 +251,7 @@
         path = self.directory / f"{host_id}.json"
         path.write_text(json.dumps(self._settings(host_id), indent=2))
         arguments = ("serve", "--settings", str(path))
-        self.processes.start(host_id, "wisteriatiller.cli", *arguments)
+        self.processes.start(host_id, "wisteriatiller.operations.cli", *arguments)
 
     def wait_ready(self, host_id: str) -> dict:
         url = f"{self.balancers[host_id].admin_url}/status"
@@ -378,7 +378,7 @@
         path.write_text(deployment.text())
         process = self.processes.start(
             "submit",
-            "wisteriatiller.cli",
+            "wisteriatiller.operations.cli",
             *("submit", str(path), "--store", self.store_url, "--wait", str(wait_s)),
         )
         code = process.wait(wait_s + STOP_TIMEOUT_S)
--- a/testbed/datapathdriver.py
+++ b/testbed/datapathdriver.py
@@ -10,8 +10,8 @@
 import sys
 import time
 
-from wisteriatiller import proxyheader
 from wisteriatiller.ids import Address, FlowKey
+from wisteriatiller.transport import proxyheader
 
 MAX_DATAGRAM_BYTES = 65535
 BUFFER_BYTES = 8 * 1024 * 1024
--- a/testbed/fabric.py
+++ b/testbed/fabric.py
@@ -20,7 +20,7 @@
 
 from wisteriatiller.exceptions import MessageError
 from wisteriatiller.ids import Address
-from wisteriatiller.proxyheader import IPV4_BLOCK_BYTES, flow_key, split
+from wisteriatiller.transport.proxyheader import IPV4_BLOCK_BYTES, flow_key, split
 
 from .sockets import BatchSocket
 from .web import route, serve, update_faults, wait_for_stop
--- a/testbed/policyworld.py
+++ b/testbed/policyworld.py
@@ -20,18 +20,16 @@
 
 import looptime
 
-from wisteriatiller import coapcodec, proxyheader
-from wisteriatiller.balance import BoundedLoadChooser
-from wisteriatiller.config import (
+from wisteriatiller.configuration.config import (
     ConfigSource,
     Configuration,
     RequestMode,
     Service,
     Upstream,
 )
-from wisteriatiller.environment import Environment
-from wisteriatiller.flows import FlowRecord, FlowState
-from wisteriatiller.health import PROBE_INTERVAL_S
+from wisteriatiller.foundation.environment import Environment
+from wisteriatiller.foundation.metrics import NullMetrics
+from wisteriatiller.foundation.ports import DatagramPort, PeerPort
 from wisteriatiller.ids import (
     Address,
     CallerId,
@@ -42,12 +40,14 @@
     UpstreamId,
     ZoneId,
 )
-from wisteriatiller.lease import ShardLeases
-from wisteriatiller.loads import LoadBoard
-from wisteriatiller.metrics import NullMetrics
-from wisteriatiller.ports import DatagramPort, PeerPort
-from wisteriatiller.pressure import DependencyPolicy
-from wisteriatiller.shardtable import ShardTable
+from wisteriatiller.leases.lease import ShardLeases
+from wisteriatiller.owners.balance import BoundedLoadChooser
+from wisteriatiller.owners.flows import FlowRecord, FlowState
+from wisteriatiller.owners.loads import LoadBoard
+from wisteriatiller.owners.pressure import DependencyPolicy
+from wisteriatiller.owners.shardtable import ShardTable
+from wisteriatiller.requests.health import PROBE_INTERVAL_S
+from wisteriatiller.transport import coapcodec, proxyheader
 
 # Owners and their upstreams are in the same zone; other owners are not.
 UPSTREAM_DELAY_S = 0.0003
--- a/testbed/upstream.py
+++ b/testbed/upstream.py
@@ -21,10 +21,10 @@
 
 from aiocoap.numbers.codes import Code
 
-from wisteriatiller import proxyheader
 from wisteriatiller.exceptions import MessageError
 from wisteriatiller.ids import Address
-from wisteriatiller.proxyheader import FlowAddresses
+from wisteriatiller.transport import proxyheader
+from wisteriatiller.transport.proxyheader import FlowAddresses
 
 from . import coap
 from .sockets import BatchSocket
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -17,19 +17,11 @@
 
 import looptime
 
-from wisteriatiller.environment import Environment
+from wisteriatiller.configuration.settings import HostSettings, Seed
 from wisteriatiller.exceptions import InvariantBroken
-from wisteriatiller.ids import Address, HostId, Revision, ZoneId
-from wisteriatiller.membership import (
-    GossipListener,
-    HostState,
-    Member,
-    Membership,
-)
-from wisteriatiller.metrics import NullMetrics
-from wisteriatiller.outcomes import Conflict, StoreUnavailable
-from wisteriatiller.peernode import PeerNode
-from wisteriatiller.ports import (
+from wisteriatiller.foundation.environment import Environment
+from wisteriatiller.foundation.metrics import NullMetrics
+from wisteriatiller.foundation.ports import (
     Clock,
     DatagramPort,
     DatagramPorts,
@@ -38,7 +30,15 @@
     StoreEntry,
     StoreMissing,
 )
-from wisteriatiller.settings import HostSettings, Seed
+from wisteriatiller.ids import Address, HostId, Revision, ZoneId
+from wisteriatiller.membership.membership import (
+    GossipListener,
+    HostState,
+    Member,
+    Membership,
+)
+from wisteriatiller.outcomes import Conflict, StoreUnavailable
+from wisteriatiller.transport.peernode import PeerNode
 
 PEER_KEY = b"a key for tests of sixteen bytes or more"
 PEER_PORT = 7400
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -19,16 +19,16 @@
 from testbed.judge import Verdict, judge
 from testbed.upstream import Upstream, UpstreamSpec
 from tests.fakes import FABRIC_RETURN, FakeDatagramPort, FakeNetwork, FakeStore
-from wisteriatiller.config import (
+from wisteriatiller.configuration.config import (
     Configuration,
     RequestMode,
     Service,
     Upstream as UpstreamConfig,
 )
-from wisteriatiller.configstore import Submitted, new_submission_id, submit
+from wisteriatiller.foundation.ports import StoreEntry
 from wisteriatiller.ids import Address, ServiceId, UpstreamId, ZoneId
-from wisteriatiller.ports import StoreEntry
-from wisteriatiller.runtime import Host
+from wisteriatiller.operations.runtime import Host
+from wisteriatiller.store.submission import Submitted, new_submission_id, submit
 
 ZONES = ("quimper", "brest", "rennes")
 CALLER_ADDRESS = Address("10.200.0.1", 7000)
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -31,6 +31,7 @@
     commands = {
         "format": [python, "-m", "ruff", "format", "--check", "."],
         "lint": [python, "-m", "ruff", "check", "."],
+        "imports": [str(Path(python).parent / "lint-imports"), "--no-cache"],
     }
     if (ROOT / "tools" / "build_binary.py").exists():
         commands["binary"] = [python, "-m", "tools.smoke_binary"]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -25,8 +25,8 @@
 from testbed.judge import Verdict
 from tests.fakes import run_virtual
 from tests.fleet import ZONES, Fleet, wait_until
-from wisteriatiller.configstore import Submitted
 from wisteriatiller.ids import ServiceId, UpstreamId
+from wisteriatiller.store.submission import Submitted
 
 PRICE_SERVICE = "stock-browser"
 SHEET_SERVICE = "sheet-service"
--- a/tests/steps/balance_steps.py
+++ b/tests/steps/balance_steps.py
@@ -16,8 +16,13 @@
 )
 from testbed.policyworld import Sizes, World, run_virtual
 from wisteriatiller.ids import UpstreamId
-from wisteriatiller.loads import LoadSummary
-from wisteriatiller.proxyheader import TLV_CLOCK, TLV_NONCE, TLV_REPORT, LocalHeader
+from wisteriatiller.owners.loads import LoadSummary
+from wisteriatiller.transport.proxyheader import (
+    TLV_CLOCK,
+    TLV_NONCE,
+    TLV_REPORT,
+    LocalHeader,
+)
 
 FAULTS = {"half_speed": _half_speed, "lying_reports": _lying_reports}
 
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -21,14 +21,10 @@
 from testbed.web import serve
 from tests import configurations
 from tests.fakes import FakeNetwork, StaticMembership, run_virtual
-from wisteriatiller import cli, logs
-from wisteriatiller.admin import AdminServer, revision_view
-from wisteriatiller.configstore import CONFIG_KEY, ConfigFollower
-from wisteriatiller.ids import Address, HostId, ServiceId, UpstreamId
-from wisteriatiller.logs import event_line
-from wisteriatiller.outcomes import StoreUnavailable
-from wisteriatiller.ports import LoopClock
-from wisteriatiller.report import (
+from wisteriatiller.foundation import logs
+from wisteriatiller.foundation.logs import event_line
+from wisteriatiller.foundation.ports import LoopClock
+from wisteriatiller.foundation.report import (
     LONG_WINDOW_S,
     SHORT_WINDOW_S,
     RequestOutcome,
@@ -36,7 +32,13 @@
     host_report,
     merge_reports,
 )
-from wisteriatiller.store_consul import ConsulStore
+from wisteriatiller.ids import Address, HostId, ServiceId, UpstreamId
+from wisteriatiller.operations import cli
+from wisteriatiller.outcomes import StoreUnavailable
+from wisteriatiller.store.admin import AdminServer, revision_view
+from wisteriatiller.store.configstore import ConfigFollower
+from wisteriatiller.store.store_consul import ConsulStore
+from wisteriatiller.store.submission import CONFIG_KEY
 
 # Addresses of this feature alone, so that other features can run beside it.
 SUBNET = "127.77.4"
--- a/tests/steps/configstore_steps.py
+++ b/tests/steps/configstore_steps.py
@@ -12,21 +12,20 @@
 
 from tests import configurations
 from tests.fakes import FakeNetwork, FakeStore, run_virtual
-from wisteriatiller.configrecord import encode_record, next_record
-from wisteriatiller.configstore import (
-    NO_RECORD,
-    ConfigFollower,
+from wisteriatiller.configuration.configrecord import encode_record, next_record
+from wisteriatiller.configuration.configtext import load_text
+from wisteriatiller.configuration.textparse import TextProblems
+from wisteriatiller.ids import HostId, Revision, ZoneId
+from wisteriatiller.membership.membership import Membership
+from wisteriatiller.outcomes import Conflict, StoreUnavailable
+from wisteriatiller.store.configstore import NO_RECORD, ConfigFollower
+from wisteriatiller.store.submission import (
     Submitted,
     check_successor,
     new_submission_id,
     read_record,
     submit,
 )
-from wisteriatiller.configtext import load_text
-from wisteriatiller.ids import HostId, Revision, ZoneId
-from wisteriatiller.membership import Membership
-from wisteriatiller.outcomes import Conflict, StoreUnavailable
-from wisteriatiller.textcheck import TextProblems
 
 
 class GossipHub:
--- a/tests/steps/configtext_steps.py
+++ b/tests/steps/configtext_steps.py
@@ -10,8 +10,8 @@
 from hypothesis import given as generated, settings as hypothesis_settings, strategies
 
 from tests import configurations
-from wisteriatiller.config import Configuration, RequestMode
-from wisteriatiller.configrecord import (
+from wisteriatiller.configuration.config import Configuration, RequestMode
+from wisteriatiller.configuration.configrecord import (
     NO_RECORD,
     ConfigRecord,
     RecordInvalid,
@@ -19,11 +19,11 @@
     encode_record,
     next_record,
 )
-from wisteriatiller.configtext import load_text
+from wisteriatiller.configuration.configtext import load_text
+from wisteriatiller.configuration.settings import HostSettings, load_settings
+from wisteriatiller.configuration.textparse import TextProblems
 from wisteriatiller.exceptions import SettingsError
 from wisteriatiller.ids import Address, SubmissionId
-from wisteriatiller.settings import HostSettings, load_settings
-from wisteriatiller.textcheck import TextProblems
 
 RUNS = hypothesis_settings(max_examples=300, deadline=None, derandomize=True)
 
--- a/tests/steps/inflight_steps.py
+++ b/tests/steps/inflight_steps.py
@@ -3,11 +3,15 @@
 from behave import given, then, when
 
 from tests.fakes import FakeNetwork, run_virtual
-from wisteriatiller.coapcodec import CoapHead, MessageType
-from wisteriatiller.duplicates import DuplicateTable, RequestRecord, RequestState
 from wisteriatiller.ids import CallerId, FlowKey, UpstreamId
-from wisteriatiller.inflight import InFlightRequests
-from wisteriatiller.queueing import Request
+from wisteriatiller.requests.duplicates import (
+    DuplicateTable,
+    RequestRecord,
+    RequestState,
+)
+from wisteriatiller.requests.inflight import InFlightRequests
+from wisteriatiller.requests.queueing import Request
+from wisteriatiller.transport.coapcodec import CoapHead, MessageType
 
 FLOW = FlowKey(bytes(12))
 TOKEN = b"token"
--- a/tests/steps/ingress_steps.py
+++ b/tests/steps/ingress_steps.py
@@ -7,18 +7,18 @@
 from behave import given, then, when
 
 from tests.fakes import FakeNetwork, run_virtual
-from wisteriatiller import proxyheader
-from wisteriatiller.config import (
+from wisteriatiller.configuration.config import (
     ConfigSource,
     Configuration,
     RequestMode,
     Service,
     Upstream,
 )
-from wisteriatiller.homes import Homes
+from wisteriatiller.foundation.ports import DatagramPort
 from wisteriatiller.ids import Address, FlowKey, Revision, ServiceId, UpstreamId, ZoneId
-from wisteriatiller.ingress import PIN_REFRESH_S, Ingress
-from wisteriatiller.ports import DatagramPort
+from wisteriatiller.owners.homes import Homes
+from wisteriatiller.owners.ingress import PIN_REFRESH_S, Ingress
+from wisteriatiller.transport import proxyheader
 
 ZONE = ZoneId("brest")
 UPSTREAM_ID = UpstreamId("sheet-1")
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -7,7 +7,7 @@
 from tests.fakes import run_virtual
 from tests.faults import run_seed
 from tests.zone import Zone
-from wisteriatiller.leasemessages import LeaseRequest
+from wisteriatiller.leases.leasemessages import LeaseRequest
 
 SEED = 11
 START_LIMIT_S = 30.0
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -9,16 +9,16 @@
 from hypothesis import given as for_all, settings, strategies as st
 
 from tests.fakes import PEER_KEY, FakeNetwork, run_virtual
-from wisteriatiller import gossipwire
-from wisteriatiller.datagrams import UdpPorts
-from wisteriatiller.gossip import GossipState, make_entry
+from wisteriatiller.configuration.settings import Seed
+from wisteriatiller.foundation.messages import _checks_by_type, encode
+from wisteriatiller.foundation.metrics import NullMetrics
 from wisteriatiller.ids import Address
-from wisteriatiller.membership import HostState
-from wisteriatiller.messages import _checks_by_type, encode
-from wisteriatiller.metrics import NullMetrics
-from wisteriatiller.peers import TcpPeers
-from wisteriatiller.settings import Seed
-from wisteriatiller.swim import SwimMembership
+from wisteriatiller.membership import gossipwire
+from wisteriatiller.membership.gossip import GossipState, make_entry
+from wisteriatiller.membership.membership import HostState
+from wisteriatiller.membership.swim import SwimMembership
+from wisteriatiller.transport.datagrams import UdpPorts
+from wisteriatiller.transport.peers import TcpPeers
 
 
 class Cluster:
@@ -522,7 +522,9 @@
 
 def random_message(random):
     kinds = [
-        cls for cls in _checks_by_type if cls.__module__ == "wisteriatiller.gossipwire"
+        cls
+        for cls in _checks_by_type
+        if cls.__module__ == "wisteriatiller.membership.gossipwire"
     ]
     cls = random.choice(kinds)
     values = []
--- a/tests/steps/overload_steps.py
+++ b/tests/steps/overload_steps.py
@@ -16,7 +16,7 @@
     coap_message,
     run_virtual,
 )
-from wisteriatiller import coapcodec, proxyheader
+from wisteriatiller.transport import coapcodec, proxyheader
 
 TOKEN = b"same"
 
--- a/tests/steps/ownership_steps.py
+++ b/tests/steps/ownership_steps.py
@@ -11,8 +11,8 @@
 from testbed.judge import Verdict
 from tests.fakes import run_virtual
 from tests.fleet import Fleet, build_services, wait_until
-from wisteriatiller.handover import HandoverQueue
 from wisteriatiller.outcomes import Unreachable
+from wisteriatiller.owners.handover import HandoverQueue
 
 SERVICE = "stock-browser"
 FLOWS = 18
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -10,13 +10,13 @@
 from tornado.iostream import IOStream
 
 from tests.fakes import PEER_KEY, FakeNetwork, run_virtual
-from wisteriatiller.datagrams import UdpPorts
 from wisteriatiller.exceptions import InvariantBroken
+from wisteriatiller.foundation.messages import Message, encode, message
+from wisteriatiller.foundation.metrics import NullMetrics
 from wisteriatiller.ids import Address
-from wisteriatiller.messages import Message, encode, message
-from wisteriatiller.metrics import NullMetrics
 from wisteriatiller.outcomes import Unreachable
-from wisteriatiller.peers import TcpPeers, _Connection
+from wisteriatiller.transport.datagrams import UdpPorts
+from wisteriatiller.transport.peers import TcpPeers, _Connection
 
 LOOPBACK = Address("127.0.0.1", 0)
 OLDER_KEY = b"the key before the present one"
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -8,13 +8,13 @@
 from behave import given, then, when
 
 from wisteriatiller.exceptions import InvariantBroken
-from wisteriatiller.flowmessages import Forward
-from wisteriatiller.flowplacing import FlowPlacer
+from wisteriatiller.foundation.tasks import EXIT_INVARIANT_BROKEN
 from wisteriatiller.ids import HostId, ShardId, ZoneId
-from wisteriatiller.ownership import Ownership
+from wisteriatiller.leases.ownership import Ownership
+from wisteriatiller.owners.flowmessages import Forward
+from wisteriatiller.owners.flowplacing import FlowPlacer
+from wisteriatiller.owners.shard import OwnedShard
 from wisteriatiller.placement import PlacementTable, earlier_homes
-from wisteriatiller.shard import OwnedShard
-from wisteriatiller.tasks import EXIT_INVARIANT_BROKEN
 
 
 def flow_keys(count):
--- a/tests/steps/process_steps.py
+++ b/tests/steps/process_steps.py
@@ -11,9 +11,9 @@
 from testbed.cluster import Cluster, free_subnet, wait_until
 from testbed.deployments import both_users
 from testbed.judge import judge, new_flows_after
-from wisteriatiller import proxyheader
 from wisteriatiller.ids import Address
-from wisteriatiller.proxyheader import FlowAddresses
+from wisteriatiller.transport import proxyheader
+from wisteriatiller.transport.proxyheader import FlowAddresses
 
 # Shorter than the 2 s of RFC 7252, so that lost datagrams are repeated soon and the
 # scenarios stay short.
--- a/tests/steps/promises_steps.py
+++ b/tests/steps/promises_steps.py
@@ -13,12 +13,12 @@
 from tests.fakes import FABRIC_RETURN, FakeDatagramPort, run_virtual
 from tests.fleet import ZONES, Fleet, build_services, wait_until
 from tests.soak import run_soak, violations
-from wisteriatiller import proxyheader
-from wisteriatiller.config import RequestMode
-from wisteriatiller.configrecord import decode_record
-from wisteriatiller.configstore import Submitted
+from wisteriatiller.configuration.config import RequestMode
+from wisteriatiller.configuration.configrecord import decode_record
 from wisteriatiller.ids import Address, ServiceId
-from wisteriatiller.proxyheader import FlowAddresses
+from wisteriatiller.store.submission import Submitted
+from wisteriatiller.transport import proxyheader
+from wisteriatiller.transport.proxyheader import FlowAddresses
 
 PRICE = "stock-browser"
 SEED = 7
--- a/tests/steps/queueing_steps.py
+++ b/tests/steps/queueing_steps.py
@@ -8,7 +8,7 @@
 
 from testbed.bench_policy import one_busy_caller, percentile
 from testbed.policyworld import run_virtual
-from wisteriatiller.queueing import FairQueue, Request
+from wisteriatiller.requests.queueing import FairQueue, Request
 
 DURATION_S = 15.0
 # With this seed, plain round robin misses the bound within the short run: the busy
--- a/tests/steps/testbed_steps.py
+++ b/tests/steps/testbed_steps.py
@@ -15,9 +15,9 @@
 from testbed.upstream import Upstream, UpstreamSpec
 from testbed.web import serve
 from tests.fakes import run_virtual
-from wisteriatiller import proxyheader
 from wisteriatiller.ids import Address
-from wisteriatiller.proxyheader import FlowAddresses
+from wisteriatiller.transport import proxyheader
+from wisteriatiller.transport.proxyheader import FlowAddresses
 
 STORE = Address("127.10.77.1", 8577)
 STORE_URL = f"http://{STORE}"
--- a/tests/zone.py
+++ b/tests/zone.py
@@ -11,14 +11,14 @@
 import random
 
 from tests.fakes import FakeNetwork, FakeStore
-from wisteriatiller.grantors import LeaseGrantor
-from wisteriatiller.grantorviews import GrantorViews
+from wisteriatiller.foundation.ports import Clock, LoopClock, StoreEntry
 from wisteriatiller.ids import ShardId, ZoneId
-from wisteriatiller.lease import MajorityLeases
-from wisteriatiller.membership import Membership
-from wisteriatiller.ownership import Ownership
-from wisteriatiller.platformhosts import HOSTS_KEY
-from wisteriatiller.ports import Clock, LoopClock, StoreEntry
+from wisteriatiller.leases.grantors import LeaseGrantor
+from wisteriatiller.leases.grantorviews import GrantorViews
+from wisteriatiller.leases.lease import MajorityLeases
+from wisteriatiller.leases.ownership import Ownership
+from wisteriatiller.membership.membership import Membership
+from wisteriatiller.store.platformhosts import HOSTS_KEY
 
 ZONE = ZoneId("brest")
 OBSERVE_S = 0.02
--- a/tools/archive_main.py
+++ b/tools/archive_main.py
@@ -13,6 +13,6 @@
     import archive_imports
 
     archive_imports.install(sys.path[0])
-    from wisteriatiller.cli import main
+    from wisteriatiller.operations.cli import main
 
     sys.exit(main())
