Show on the command line what hosts believe and what became of a flow

Change: beliefs (a table or JSON of hosts' versions, ages, upstreams, verdicts) and explain (the lines of all hosts about one flow, with what they learned of its upstreams). Rounds of calls to grantors stand in leaserounds.py, what commands share in console.py. The smoke test of the binary names the moved module.

--- a/src/wisteriatiller/leases/__init__.py
+++ b/src/wisteriatiller/leases/__init__.py
@@ -2,7 +2,8 @@
 
 from .grantors import LeaseGrantor
 from .grantorviews import GrantorViews
-from .lease import FormerHolder, MajorityLeases, ShardLeases
+from .lease import MajorityLeases, ShardLeases
+from .leaserounds import FormerHolder
 from .ownership import Ownership
 
 __all__ = [
--- a/src/wisteriatiller/leases/lease.py
+++ b/src/wisteriatiller/leases/lease.py
@@ -10,15 +10,12 @@
 from wisteriatiller.ids import HostId, ShardId
 from wisteriatiller.membership import Membership
 
-from .grantorviews import DRIFT_MARGIN_S, LEASE_S, GrantorView, GrantorViews, read_view
-from .leasemessages import LeaseRelease, LeaseReleased, LeaseReply, LeaseRequest
+from .grantorviews import LEASE_S, GrantorViews
+from .leaserounds import FormerHolder, GrantorRounds, LeaseRound
 from .ownership import Ownership, shard_key
 
 LeaseListener = Callable[[ShardId, int], None]
 
-# A candidate gives up on an attempt after this long; a renewal leaves time for a
-# second and a third try within the lease.
-ROUND_TIMEOUT_S = 0.6
 RENEW_INTERVAL_S = 1.0
 RENEW_RETRY_S = 0.2
 CANDIDACY_INTERVAL_S = 0.2
@@ -37,7 +34,6 @@
 # A restarted host leaves its former shards to the backups, which have the records.
 # By then, the grants of its former process ran out.
 START_DELAY_S = 4.0
-RELEASE_TIMEOUT_S = 0.5
 EPOCH_TRIES = 3
 
 
@@ -64,24 +60,6 @@
         """Give the lease up at the grantors so that a successor need not wait."""
 
 
-@dataclass(frozen=True, slots=True)
-class FormerHolder:
-    """Who held a lease before, as a majority of grantors remembers it.
-
-    The majority kept its records without a gap for ``remembered_s``, so no other
-    host held the lease in that time. ``backup`` is the host that the holder last
-    named as having all its records, empty if none. ``never_held`` says that the
-    zone's grantors remember every lease since the first view, and this one was never
-    held.
-    """
-
-    epoch: int
-    holder: HostId
-    backup: HostId
-    remembered_s: float
-    never_held: bool
-
-
 @dataclass(slots=True)
 class _HeldLease:
     epoch: int
@@ -102,59 +80,6 @@
     next_s: float = 0.0
 
 
-class _Round:
-    """The answers to one batch of lease requests."""
-
-    def __init__(self, view: GrantorView, sent_s: float):
-        self.view = view
-        self.sent_s = sent_s
-        self.replies: dict[HostId, LeaseReply] = {}
-        self._answers: dict[int, dict[HostId, tuple]] = {}
-
-    def add(self, host_id: HostId, reply: LeaseReply) -> None:
-        self.replies[host_id] = reply
-        for index, *answer in reply.answers:
-            self._answers.setdefault(index, {})[host_id] = tuple(answer)
-
-    def granters(self, index: int) -> list[HostId]:
-        answers = self._answers.get(index, {})
-        return [host_id for host_id, answer in answers.items() if answer[0]]
-
-    def is_granted(self, index: int) -> bool:
-        return self.view.has_majority(self.granters(index))
-
-    def is_decided(self, index: int) -> bool:
-        """Whether further answers cannot change ``is_granted``."""
-        if self.is_granted(index):
-            return True
-        silent = [host for host in self.view.everyone if host not in self.replies]
-        return not self.view.has_majority(self.granters(index) + silent)
-
-    def highest_epoch(self, index: int) -> int:
-        answers = self._answers.get(index, {}).values()
-        return max((answer[1] for answer in answers), default=0)
-
-    def former(self, index: int) -> FormerHolder:
-        answers = self._answers[index]
-        epoch, holder, generation, backup = max(
-            (answer[2:6] for answer in answers.values()), key=lambda held: held[::2]
-        )
-        # During a transition, only the former members know the leases before it.
-        witnesses = set(self.view.former or self.view.members)
-        replies = [
-            self.replies[host_id]
-            for host_id in self.granters(index)
-            if host_id in witnesses
-        ]
-        return FormerHolder(
-            epoch,
-            HostId(holder),
-            HostId(backup),
-            min((reply.remembers_ms for reply in replies), default=0) / 1000,
-            epoch == 0 and all(reply.founder for reply in replies),
-        )
-
-
 class MajorityLeases(ShardLeases):
     """Leases granted by a majority of the zone's grantors.
 
@@ -179,6 +104,7 @@
         self._membership = membership
         self._ownership = ownership
         self._views = views
+        self._rounds = GrantorRounds(environment, views)
         self._shard_count = shard_count
         self._held: dict[ShardId, _HeldLease] = {}
         self._highest: dict[ShardId, int] = {}
@@ -236,7 +162,7 @@
 
     async def release_at_grantors(self, shard: ShardId, epoch: int) -> None:
         """Tell the grantors that a lease was given up."""
-        await self._release_at_grantors([(shard, epoch)])
+        await self._rounds.release([(shard, epoch)])
 
     async def register_backup(self, shard: ShardId, backup: HostId) -> bool:
         """Have a majority of grantors note which host has all records of the shard.
@@ -251,7 +177,7 @@
         lease.generation += 1
         lease.backup = backup
         generation = lease.generation
-        outcome = await self._ask([lease.renewal(shard)])
+        outcome = await self._rounds.ask([lease.renewal(shard)])
         if (
             outcome is None
             or self._held.get(shard) is not lease
@@ -278,7 +204,7 @@
 
     async def reaches_majority(self) -> bool:
         """Whether a majority of the grantors answers this host now."""
-        outcome = await self._ask([])
+        outcome = await self._rounds.ask([])
         return outcome is not None and outcome.view.has_majority(outcome.replies)
 
     # Renewal
@@ -299,7 +225,7 @@
             s: lease for s, lease in self._held.items() if self.remaining_s(s) > 0
         }
         requests = [lease.renewal(shard) for shard, lease in leases.items()]
-        outcome = await self._ask(requests)
+        outcome = await self._rounds.ask(requests)
         self._drop_expired()
         if outcome is None:
             return False
@@ -313,8 +239,8 @@
                 is_complete = False
         return is_complete
 
-    def _extend(self, shard: ShardId, lease: _HeldLease, outcome: _Round) -> None:
-        lease.expires_s = max(lease.expires_s, _expiry_s(outcome))
+    def _extend(self, shard: ShardId, lease: _HeldLease, outcome: LeaseRound) -> None:
+        lease.expires_s = max(lease.expires_s, outcome.expires_s())
         self._ownership.publish_owner(shard, lease.epoch)
 
     def _drop_expired(self) -> None:
@@ -404,7 +330,7 @@
     async def _try_acquire(self, shards: list[ShardId]) -> list[ShardId]:
         """One attempt; returns the shards to try again at once with a higher epoch."""
         epochs = {shard: self._next_epoch(shard) for shard in shards}
-        first = await self._ask([(s, epochs[s], False, 0, "") for s in shards])
+        first = await self._rounds.ask([(s, epochs[s], False, 0, "") for s in shards])
         if first is None:
             self._fail(epochs, shards)
             return []
@@ -419,7 +345,7 @@
                 won.append(shard)
         second = None
         if won:
-            second = await self._ask([(s, epochs[s], True, 0, "") for s in won])
+            second = await self._rounds.ask([(s, epochs[s], True, 0, "") for s in won])
         now_s = self._now_s()
         kept = [
             shard
@@ -428,8 +354,8 @@
             and second.is_granted(shard.index)
             # With grants of the first round that ran out before the second was sent,
             # another host may have held the lease in between.
-            and second.sent_s < _expiry_s(first)
-            and now_s < _expiry_s(second)
+            and second.sent_s < first.expires_s()
+            and now_s < second.expires_s()
         ]
         for shard in kept:
             self._hold(shard, epochs[shard], first, second)
@@ -441,7 +367,9 @@
         known = self._membership.value(shard_key(shard))
         return max(self._highest.get(shard, 0), known[0] if known else 0) + 1
 
-    def _hold(self, shard: ShardId, epoch: int, first: _Round, second: _Round) -> None:
+    def _hold(
+        self, shard: ShardId, epoch: int, first: LeaseRound, second: LeaseRound
+    ) -> None:
         check_invariant(shard not in self._held, "lease_held_once", shard=shard)
         check_invariant(
             epoch > first.former(shard.index).epoch,
@@ -451,7 +379,7 @@
         )
         former = first.former(shard.index)
         self._highest[shard] = max(epoch, self._highest.get(shard, 0))
-        self._held[shard] = _HeldLease(epoch, _expiry_s(second), former)
+        self._held[shard] = _HeldLease(epoch, second.expires_s(), former)
         self._backoffs.pop(shard, None)
         self._vacant_since_s.pop(shard, None)
         self._environment.metrics.count("leases.acquired")
@@ -476,79 +404,7 @@
     def _give_back(self, releases: list[tuple[ShardId, int]]) -> None:
         """Free the grants of a failed attempt for other candidates."""
         if releases:
-            spawn(self._release_at_grantors(releases), "release grants")
-
-    async def _release_at_grantors(self, releases: list[tuple[ShardId, int]]) -> None:
-        view = self._views.view
-        if view is None:
-            return
-        message = LeaseRelease(
-            self._zone, tuple((shard.index, epoch) for shard, epoch in releases)
-        )
-        peers = self._environment.peers
-        pending = {
-            asyncio.ensure_future(peers.call(host_id, message, RELEASE_TIMEOUT_S)): (
-                host_id
-            )
-            for host_id in view.everyone
-        }
-        released = []
-        while pending and not view.has_majority(released):
-            done, _ = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-            for task in done:
-                host_id = pending.pop(task)
-                if isinstance(task.result(), LeaseReleased):
-                    released.append(host_id)
-
-    # Rounds
-
-    async def _ask(self, requests: list[tuple]) -> _Round | None:
-        """Send one message to each grantor; return once nothing more can change."""
-        view = self._views.view
-        if view is None:
-            return None
-        outcome = _Round(view, self._now_s())
-        message = LeaseRequest(
-            self._zone,
-            view.revision,
-            view.fingerprint,
-            tuple((shard.index, *rest) for shard, *rest in requests),
-        )
-        peers = self._environment.peers
-        pending = {
-            asyncio.ensure_future(peers.call(host_id, message, ROUND_TIMEOUT_S)): (
-                host_id
-            )
-            for host_id in view.everyone
-        }
-        indexes = [shard.index for shard, *_ in requests]
-        try:
-            while pending and not self._is_over(outcome, indexes):
-                done, _ = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
-                    self._take_reply(outcome, pending.pop(task), task.result())
-        finally:
-            for task in pending:
-                task.cancel()
-        return outcome
-
-    def _is_over(self, outcome: _Round, indexes: list[int]) -> bool:
-        if not indexes:
-            return outcome.view.has_majority(outcome.replies)
-        return all(map(outcome.is_decided, indexes))
-
-    def _take_reply(self, outcome: _Round, host_id: HostId, reply) -> None:
-        if not isinstance(reply, LeaseReply):
-            return
-        outcome.add(host_id, reply)
-        if reply.view:
-            self._views.adopt(read_view(reply.view))
+            spawn(self._rounds.release(releases), "release grants")
 
     def _now_s(self) -> float:
         return self._environment.clock.now_s()
-
-
-def _expiry_s(outcome: _Round) -> float:
-    return outcome.sent_s + LEASE_S - DRIFT_MARGIN_S
--- a/src/wisteriatiller/operations/cli.py
+++ b/src/wisteriatiller/operations/cli.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check, submit, status and report.
+"""The command line: serve, check, submit, status, report, beliefs and explain.
 
 Exit status 0 means done. 2 means that the input was not usable and nothing was
 changed. 1 means that something was changed or asked, but not everywhere or not for
@@ -48,11 +48,17 @@
     wait_in_force,
 )
 
+from .console import (
+    DONE,
+    INCOMPLETE,
+    NOTHING_CHANGED,
+    UsageError,
+    complain,
+    say,
+)
+from .steeringcommands import Beliefs, Explain
 from .tables import format_report, format_table
 
-DONE = 0
-INCOMPLETE = 1
-NOTHING_CHANGED = 2
 ASK_TIMEOUT_S = 2.0
 DEFAULT_WAIT_S = 30.0
 
@@ -70,16 +76,13 @@
 _JSON_OPTION = option("json", None, "Write JSON", flag=True)
 
 
-class UsageError(Exception):
-    """Options that cannot be used; nothing has been done."""
-
-
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a command and return its exit status."""
     application = Application("wisteriatiller", __version__)
     application.auto_exits(False)
     application.catch_exceptions(False)
-    for command in (Serve(), Check(), Submit(), Status(), Report()):
+    commands = (Serve(), Check(), Submit(), Status(), Report(), Beliefs(), Explain())
+    for command in commands:
         application.add(command)
     if arguments is not None:
         sys.argv[1:] = arguments
@@ -92,15 +95,6 @@
     return NOTHING_CHANGED
 
 
-def say(text: str) -> None:
-    # Plain print, since cleo would read "<" in an operator's text as markup.
-    print(text, flush=True)
-
-
-def complain(text: str) -> None:
-    print(text, file=sys.stderr, flush=True)
-
-
 class Serve(Command):
     name = "serve"
     description = "Run a host until SIGTERM"
--- a/tests/hostprocess.feature
+++ b/tests/hostprocess.feature
@@ -44,3 +44,12 @@
     Given a stand-in store and a host process whose log nobody reads
     When the host is ready
     Then 3000 opening packets reach the upstream, some without a log line
+
+  Scenario: The command line shows what a host believes and explains a flow
+    # Guards against commands whose fields drift away from what hosts report.
+    Given a stand-in store and a host process
+    When the host is ready
+    Then an opening packet reaches the upstream with its number and a tag
+    And the command beliefs shows the upstream, trusted, at configuration 1
+    And the command explain names the upstream of the flow and configuration 1
+    And the command explain says that it knows nothing of another flow
--- a/tests/steps/hostprocess_steps.py
+++ b/tests/steps/hostprocess_steps.py
@@ -235,3 +235,56 @@
         assert context.host.upstream.recv(2000)
     _, body = context.host.page(9464, "/metrics")
     assert "wisteriatiller_log_lines_left_out 0\n" not in body, body
+
+
+def command(*arguments):
+    """Run the command line; returns its exit status and standard output."""
+    result = subprocess.run(
+        [sys.executable, "-m", "wisteriatiller.operations.cli", *arguments],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    return result.returncode, result.stdout
+
+
+@then("the command beliefs shows the upstream, trusted, at configuration {version:d}")
+def then_beliefs(context, version):
+    asked = f"{context.host.ip}:9464"
+    status, output = command("beliefs", "--host", asked, "--json")
+    assert status == 0, output
+    view = json.loads(output)["hosts"][asked]
+    assert view["config"]["version"] == version, view
+    (upstream,) = view["upstreams"]
+    assert upstream["verdict"] == "trusted", upstream
+    status, output = command("beliefs", "--host", asked)
+    assert status == 0, output
+    assert upstream["upstream_id"] in output, output
+
+
+@then(
+    "the command explain names the upstream of the flow and configuration {version:d}"
+)
+def then_explain(context, version):
+    placed = next(
+        line
+        for line in context.host.log_path.read_text().splitlines()
+        if "event=flow_placed" in line
+    )
+    flow = placed.partition("flow=")[2].split()[0].strip('"')
+    log = str(context.host.log_path)
+    status, output = command("explain", flow, log, "--json")
+    assert status == 0, output
+    (decision,) = json.loads(output)["decisions"]
+    assert decision["event"] == "flow_placed", decision
+    assert decision["upstream"] == "i-7f3a91c2", decision
+    assert decision["config_version"] == str(version), decision
+    status, output = command("explain", flow, log)
+    assert "i-7f3a91c2" in output, output
+
+
+@then("the command explain says that it knows nothing of another flow")
+def then_explain_unknown(context):
+    other = "100.64.99.99:1>198.18.0.1:443"
+    status, output = command("explain", other, str(context.host.log_path))
+    assert (status, output) == (1, ""), (status, output)
--- a/tools/smoke_binary.py
+++ b/tools/smoke_binary.py
@@ -32,7 +32,7 @@
 import archive_imports
 archive_imports.install(sys.argv[1])
 import aiocoap, msgpack, statsd, tornado.httpserver, tornado.speedups, xxhash
-import proxyprotocol, wisteriatiller.process
+import proxyprotocol, wisteriatiller.operations.process
 import msgpack._cmsgpack, xxhash._xxhash
 assert msgpack.Packer is msgpack._cmsgpack.Packer, "msgpack runs without extension"
 print(json.dumps([m.__file__ for m in (msgpack._cmsgpack, xxhash._xxhash, msgpack)]))
