--- /dev/null
+++ b/testbed/flowends.py
@@ -0,0 +1,234 @@
+"""Both ends of flows: clients that send packets to hosts, upstreams that get them.
+
+The ends check what they see. A ``Finding`` names a promise that a host has broken.
+"""
+
+import random
+import selectors
+import socket
+import time
+from typing import NamedTuple
+
+from .hostfleet import DATA_PORT, FleetHost, HostFleet
+from .platformstandin import ACK, FIN, HEADER, RST, SYN, pack_packet
+
+SERVICE = "198.18.0.1:443"
+COPY_TIMES_S = (0.0, 0.2, 0.6)
+OPENING_LIMIT_S = 1.4
+PACKET_INTERVAL_S = 0.12
+FLOW_LENGTH_S = 4.0
+# Packets of a flow come through another host with this chance.
+MOVE_CHANCE = 0.3
+INTENDED_BYTES = 8
+
+
+class Finding(NamedTuple):
+    """A broken promise, with what shows it."""
+
+    promise: str
+    detail: str
+
+
+class UpstreamEnd:
+    """The socket of an upstream, and what became of it."""
+
+    def __init__(self, ip: str, number: int, service: str):
+        self.number = number
+        self.service = service
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((ip, 0))
+        self.socket.setblocking(False)
+        self.address = f"{ip}:{self.socket.getsockname()[1]}"
+        self.is_alive = True
+        self.draining_at_s: float | None = None
+
+    @property
+    def key(self) -> str:
+        return f"servers/i-{self.number:x}"
+
+
+class ClientFlow:
+    """One flow as its client knows it."""
+
+    def __init__(self, source: str, now_s: float):
+        self.source = source
+        self.begun_at_s = now_s
+        self.copies = 0
+        self.home: UpstreamEnd | None = None
+        self.host: FleetHost | None = None
+        self.tag = 0
+        self.sequence = random.randrange(1 << 31)
+        self.acknowledged = 0
+        self.next_at_s = now_s
+        self.sent: set[bytes] = set()
+
+    def is_over(self, now_s: float) -> bool:
+        age_s = now_s - self.begun_at_s
+        limit_s = OPENING_LIMIT_S if self.home is None else FLOW_LENGTH_S
+        return age_s > limit_s
+
+
+class Counts:
+    """What the ends have seen, as a whole and since ``mark``."""
+
+    def __init__(self):
+        self.opened = self.failed = self.sent = self.arrived = 0
+
+    def line(self) -> str:
+        return (
+            f"opened={self.opened} failed={self.failed} "
+            f"sent={self.sent} arrived={self.arrived}"
+        )
+
+
+class FlowEnds:
+    """Runs the clients and upstreams in one thread, turn by turn."""
+
+    def __init__(self, fleet: HostFleet, client_ip: str, rng: random.Random):
+        self._fleet = fleet
+        self._rng = rng
+        self._client_ip = client_ip
+        self._next_port = 1024
+        self._flows: dict[str, ClientFlow] = {}
+        self._upstreams: dict[int, UpstreamEnd] = {}
+        self.counts = Counts()
+        self.findings: list[Finding] = []
+        self.on_opening = lambda upstream, host: None
+        self._selector = selectors.DefaultSelector()
+        self._client = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._client.bind((client_ip, DATA_PORT))
+        self._client.setblocking(False)
+        self._selector.register(self._client, selectors.EVENT_READ, None)
+
+    def add_upstream(self, upstream: UpstreamEnd) -> None:
+        self._upstreams[upstream.number] = upstream
+        self._selector.register(upstream.socket, selectors.EVENT_READ, upstream)
+
+    def close(self) -> None:
+        for upstream in self._upstreams.values():
+            upstream.socket.close()
+        self._client.close()
+        self._selector.close()
+
+    def begin_flow(self) -> None:
+        self._next_port += 1
+        source = f"{self._client_ip}:{self._next_port}"
+        self._flows[source] = ClientFlow(source, time.monotonic())
+
+    def turn(self, wait_s: float) -> None:
+        """Take what has come, send what is due."""
+        for key, _ in self._selector.select(wait_s):
+            if key.data is None:
+                self._read(self._client, self._take_reset)
+            else:
+                self._read(
+                    key.data.socket,
+                    lambda data, ip, upstream=key.data: self._take(data, ip, upstream),
+                )
+        now_s = time.monotonic()
+        for flow in list(self._flows.values()):
+            self._serve(flow, now_s)
+
+    def end_flows_of(self, upstream: UpstreamEnd) -> None:
+        """Clients leave the flows of an upstream that has ended."""
+        for flow in list(self._flows.values()):
+            if flow.home is upstream:
+                del self._flows[flow.source]
+
+    def _read(self, read_from: socket.socket, take) -> None:
+        while True:
+            try:
+                data, (ip, _) = read_from.recvfrom(2000)
+            except BlockingIOError:
+                return
+            take(data, ip)
+
+    def _serve(self, flow: ClientFlow, now_s: float) -> None:
+        if flow.is_over(now_s):
+            self._end(flow)
+        elif flow.home is None:
+            age_s = now_s - flow.begun_at_s
+            is_due = flow.copies < len(COPY_TIMES_S)
+            if is_due and age_s >= COPY_TIMES_S[flow.copies]:
+                self._send(flow, SYN, flow.copies)
+                flow.copies += 1
+        elif now_s >= flow.next_at_s:
+            flow.next_at_s = now_s + PACKET_INTERVAL_S
+            flow.sequence += 5
+            flow.acknowledged += 700
+            self.counts.sent += 1
+            self._send(flow, ACK, flow.acknowledged, b"hello")
+
+    def _end(self, flow: ClientFlow) -> None:
+        del self._flows[flow.source]
+        if flow.home is None:
+            self.counts.failed += 1
+        else:
+            self._send(flow, FIN | ACK, flow.acknowledged)
+
+    def _send(
+        self, flow: ClientFlow, flags: int, acknowledged: int, data: bytes = b""
+    ) -> None:
+        if (
+            flow.host is None
+            or self._rng.random() < MOVE_CHANCE
+            or not flow.host.is_ready
+        ):
+            flow.host = self._fleet.route(self._rng)
+        packet = pack_packet(
+            flow.source, SERVICE, flags, flow.tag, flow.sequence, acknowledged, data
+        )
+        flow.sent.add(packet[4:])
+        self._client.sendto(packet, (flow.host.ip, DATA_PORT))
+
+    def _take(self, data: bytes, ip: str, upstream: UpstreamEnd) -> None:
+        """A packet has reached an upstream's socket."""
+        intended = int.from_bytes(data[:INTENDED_BYTES], "big")
+        packet = data[INTENDED_BYTES:]
+        if intended != upstream.number or not upstream.is_alive:
+            return
+        flow = self._flows.get(_source(packet))
+        if flow is None:
+            return
+        if packet[4:] not in flow.sent:
+            self._find("unchanged packets", f"{flow.source} at i-{upstream.number:x}")
+            return
+        is_opening = HEADER.unpack_from(packet)[8] & SYN
+        if not is_opening:
+            self._take_data(flow, upstream, ip)
+            return
+        self.on_opening(upstream, self._fleet.by_ip(ip))
+        if flow.home is None:
+            flow.home = upstream
+            flow.tag = int.from_bytes(packet[:4], "big")
+            self.counts.opened += 1
+
+    def _take_data(self, flow: ClientFlow, upstream: UpstreamEnd, ip: str) -> None:
+        if upstream is not flow.home:
+            homes = f"i-{flow.home.number:x} and i-{upstream.number:x}"
+            self._find("flows stay", f"{flow.source} at {homes} through {ip}")
+            return
+        self.counts.arrived += 1
+
+    def _take_reset(self, data: bytes, ip: str) -> None:
+        _, _, _, dst, dport, _, _, _, flags, _, _ = HEADER.unpack_from(data)
+        if not flags & RST:
+            return
+        source = f"{socket.inet_ntoa(dst.to_bytes(4, 'big'))}:{dport}"
+        flow = self._flows.get(source)
+        if flow is None:
+            return
+        if flow.home is not None and flow.home.is_alive:
+            upstream = f"i-{flow.home.number:x}"
+            self._find("no reset of a live flow", f"{source} at {upstream} by {ip}")
+        if flow.home is None:
+            self.counts.failed += 1
+        del self._flows[source]
+
+    def _find(self, promise: str, detail: str) -> None:
+        self.findings.append(Finding(promise, detail))
+
+
+def _source(packet: bytes) -> str:
+    _, src, sport, *_ = HEADER.unpack_from(packet)
+    return f"{socket.inet_ntoa(src.to_bytes(4, 'big'))}:{sport}"
--- /dev/null
+++ b/tests/hostsoak.py
@@ -0,0 +1,364 @@
+"""A soak of real host processes under random faults from outside them.
+
+Examples::
+
+    python -m tests.hostsoak --seed 1
+    python -m tests.hostsoak --seeds 100-149 --parallel 5 --length-s 20
+
+Hosts are started, paused, killed and stopped by signals, their links to the store go
+through proxies that delay, cut and silence, the store refuses everybody, upstreams
+drain, crash and give their address to another service, and the configuration changes.
+Clients go on all the while and send each packet through any host. Exit status 1 means
+that a promise was broken; the line names it, and the logs stay in the directory named.
+"""
+
+import argparse
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from testbed.faultproxy import LinkMode
+from testbed.flowends import SERVICE, Finding, FlowEnds, UpstreamEnd
+from testbed.hostfleet import FleetHost, HostFleet
+from testbed.platformstandin import (
+    StandInStore,
+    StoreMode,
+    configuration,
+    entry,
+    route,
+)
+
+HOSTS = 6
+SERVICES = ("stock", "sheet")
+UPSTREAMS_EACH = 3
+FLOWS_PER_S = 25
+# A host is held to the bounds if nothing has disturbed it, or the store, for this long.
+CALM_S = 4.0
+DRAIN_BOUND_S = 3.0
+CONFIG_BOUND_S = 3.0
+# After the last fault, and until the end of the run.
+RECOVERY_S = 4.0
+CHECKED_S = 2.0
+RECOVERED_SHARE = 0.95
+FAULT_GAP_S = (0.2, 1.2)
+FAULT_LENGTH_S = (0.5, 3.0)
+ADDRESS_REUSE_S = 2.0
+START_LIMIT_S = 20.0
+
+
+class Soak:
+    """One run: a fleet, its traffic, and faults by one seed."""
+
+    def __init__(self, seed: int, directory: Path):
+        self._rng = random.Random(seed)
+        net = f"127.{seed // 200 % 100 + 130}.{seed % 200 + 20}"
+        self._net = net
+        self._store = StandInStore(f"{net}.5")
+        self._version = 0
+        self._configs: list[tuple[float, str]] = []
+        self._store_disturbed_at_s = float("-inf")
+        self._floors: dict[tuple[str, int], int] = {}
+        self._later: list[tuple[float, object]] = []
+        self._next_number = seed * 1000 + 1
+        self._upstreams: list[UpstreamEnd] = []
+        self.faults = 0
+        self.configure()
+        self.fleet = HostFleet(net, HOSTS, self._store.address, directory)
+        self.ends = FlowEnds(self.fleet, f"{net}.200", self._rng)
+        self.ends.on_opening = self._check_opening
+        for service in SERVICES:
+            for _ in range(UPSTREAMS_EACH):
+                self.add_upstream(service)
+
+    def close(self) -> None:
+        self.ends.close()
+        self.fleet.close()
+        self._store.close()
+
+    def run(self, length_s: float) -> list[Finding]:
+        self._wait_ready()
+        end_s = time.monotonic() + length_s
+        faults_end_s = end_s - RECOVERY_S - CHECKED_S
+        next_fault_s = time.monotonic() + 1.0
+        while time.monotonic() < faults_end_s:
+            self._turn()
+            if time.monotonic() >= next_fault_s:
+                next_fault_s = time.monotonic() + self._rng.uniform(*FAULT_GAP_S)
+                self._rng.choice(self.FAULTS)(self)
+                self.faults += 1
+        self._heal()
+        self._turn_until(end_s - CHECKED_S)
+        self._check_recovery(end_s)
+        return self.ends.findings
+
+    # Faults
+
+    def kill_host(self) -> None:
+        host = self._any_host()
+        host.send_signal(signal.SIGKILL)
+        self._after(self._length_s(), lambda: self._restart(host))
+
+    def stop_host(self) -> None:
+        host = self._any_host()
+        host.send_signal(signal.SIGTERM)
+        self._after(2.5 + self._length_s(), lambda: self._restart(host))
+
+    def pause_host(self) -> None:
+        host = self._any_host()
+        host.send_signal(signal.SIGSTOP)
+        self._after(self._length_s(), lambda: host.send_signal(signal.SIGCONT))
+
+    def kill_all(self) -> None:
+        for host in self.fleet.hosts:
+            host.send_signal(signal.SIGKILL)
+            self._after(0.5, lambda host=host: self._restart(host))
+
+    def reload_host(self) -> None:
+        host = self._any_host()
+        host.write_settings()
+        host.send_signal(signal.SIGHUP)
+
+    def harm_link(self) -> None:
+        host = self._any_host()
+        modes = [mode for mode in LinkMode if mode is not LinkMode.CLEAR]
+        host.set_link(self._rng.choice(modes))
+        self._after(self._length_s(), lambda: host.set_link(LinkMode.CLEAR))
+
+    def harm_store(self) -> None:
+        self._store.mode = self._rng.choice((StoreMode.REFUSING, StoreMode.GARBLED))
+        self._store_disturbed_at_s = time.monotonic()
+        self._after(self._length_s(), self._mend_store)
+
+    def configure(self) -> None:
+        """Send the route's new flows to the other service."""
+        self._version += self._rng.randint(1, 3)
+        service = SERVICES[len(self._configs) % len(SERVICES)]
+        ip, _, port = SERVICE.rpartition(":")
+        made = configuration(self._version, route(ip, int(port), service))
+        self._store.put("op/config", made)
+        self._configs.append((time.monotonic(), service))
+
+    def drain_upstream(self) -> None:
+        upstream = self._any_upstream()
+        if upstream is None:
+            return
+        self._put(upstream, state="draining")
+        upstream.draining_at_s = time.monotonic()
+        self._after(DRAIN_BOUND_S + 0.5, lambda: self._end_upstream(upstream))
+        self.add_upstream(upstream.service)
+
+    def crash_upstream(self) -> None:
+        upstream = self._any_upstream()
+        if upstream is None:
+            return
+        upstream.is_alive = False
+        self.ends.end_flows_of(upstream)
+        self._after(1.5, lambda: self._store.remove(upstream.key))
+        self.add_upstream(upstream.service)
+
+    FAULTS = (
+        *(kill_host, kill_host, stop_host, stop_host, pause_host, kill_all),
+        *(reload_host, harm_link, harm_link, harm_link, harm_store),
+        *(configure, configure, drain_upstream, drain_upstream, crash_upstream),
+    )
+
+    def add_upstream(self, service: str) -> None:
+        number, self._next_number = self._next_number, self._next_number + 1
+        upstream = UpstreamEnd(f"{self._net}.100", number, service)
+        self._upstreams.append(upstream)
+        self.ends.add_upstream(upstream)
+        self._put(upstream)
+
+    def _put(self, upstream: UpstreamEnd, **changes) -> None:
+        zone = f"zone-{'ab'[upstream.number % 2]}"
+        made = entry(upstream.service, upstream.address, zone=zone, **changes)
+        self._store.put(upstream.key, made)
+
+    def _end_upstream(self, upstream: UpstreamEnd) -> None:
+        """End after a drain; the address goes to an upstream of the other service."""
+        upstream.is_alive = False
+        self.ends.end_flows_of(upstream)
+        self._store.remove(upstream.key)
+
+        def reuse() -> None:
+            number, self._next_number = self._next_number, self._next_number + 1
+            other = SERVICES[1 - SERVICES.index(upstream.service)]
+            upstream.number, upstream.service = number, other
+            upstream.is_alive, upstream.draining_at_s = True, None
+            self._put(upstream)
+
+        self._after(ADDRESS_REUSE_S, reuse)
+
+    def _any_host(self) -> FleetHost:
+        return self._rng.choice(self.fleet.hosts)
+
+    def _any_upstream(self) -> UpstreamEnd | None:
+        """One that may leave: each service keeps two that stay."""
+        staying = [
+            upstream
+            for upstream in self._upstreams
+            if upstream.is_alive and upstream.draining_at_s is None
+        ]
+        leaving = [
+            upstream
+            for upstream in staying
+            if sum(other.service == upstream.service for other in staying) > 2
+        ]
+        return self._rng.choice(leaving) if leaving else None
+
+    def _length_s(self) -> float:
+        return self._rng.uniform(*FAULT_LENGTH_S)
+
+    def _restart(self, host: FleetHost) -> None:
+        if not host.is_running():
+            host.start()
+
+    def _mend_store(self) -> None:
+        self._store.mode = StoreMode.NORMAL
+        self._store_disturbed_at_s = time.monotonic()
+
+    def _heal(self) -> None:
+        self._mend_store()
+        for host in self.fleet.hosts:
+            host.send_signal(signal.SIGCONT)
+            host.set_link(LinkMode.CLEAR)
+
+    # Time
+
+    def _after(self, delay_s: float, action) -> None:
+        self._later.append((time.monotonic() + delay_s, action))
+
+    def _turn(self) -> None:
+        now_s = time.monotonic()
+        due = [item for item in self._later if item[0] <= now_s]
+        self._later = [item for item in self._later if item[0] > now_s]
+        for _, action in due:
+            action()
+        if self._rng.random() < FLOWS_PER_S * 0.01:
+            self.ends.begin_flow()
+        self.ends.turn(0.01)
+
+    def _turn_until(self, end_s: float) -> None:
+        while time.monotonic() < end_s:
+            self._turn()
+            for host in self.fleet.hosts:
+                self._restart(host)
+
+    def _wait_ready(self) -> None:
+        end_s = time.monotonic() + START_LIMIT_S
+        while not all(host.is_ready for host in self.fleet.hosts):
+            if time.monotonic() > end_s:
+                raise RuntimeError("the hosts are not ready in time")
+            time.sleep(0.05)
+
+    # Promises
+
+    def _is_calm(self, host: FleetHost) -> bool:
+        disturbed_at_s = max(host.disturbed_at_s, self._store_disturbed_at_s)
+        is_clear = host.proxy.mode is LinkMode.CLEAR
+        is_clear = is_clear and self._store.mode is StoreMode.NORMAL
+        return is_clear and time.monotonic() - disturbed_at_s > CALM_S
+
+    def _check_opening(self, upstream: UpstreamEnd, host: FleetHost) -> None:
+        now_s = time.monotonic()
+        where = f"i-{upstream.number:x} through {host.ip}"
+        is_calm = self._is_calm(host)
+        if upstream.draining_at_s is not None and is_calm:
+            after_s = now_s - upstream.draining_at_s
+            if after_s > DRAIN_BOUND_S:
+                self._find("drain", f"{where}, {after_s:.1f} s after the drain")
+        self._check_config(upstream, host, is_calm, where)
+
+    def _check_config(
+        self, upstream: UpstreamEnd, host: FleetHost, is_calm: bool, where: str
+    ) -> None:
+        lifetime = (host.ip, host.lifetime)
+        floor = self._floors.get(lifetime, 0)
+        services = [service for _, service in self._configs]
+        if upstream.service not in services[floor:]:
+            self._find("no older configuration", f"{where}: {upstream.service}")
+            return
+        self._floors[lifetime] = services.index(upstream.service, floor)
+        settled = [
+            index
+            for index, (put_at_s, _) in enumerate(self._configs)
+            if time.monotonic() - put_at_s > CONFIG_BOUND_S
+        ]
+        oldest = settled[-1] if settled else 0
+        if is_calm and upstream.service not in services[oldest:]:
+            self._find("configuration in time", f"{where}: {upstream.service}")
+
+    def _check_recovery(self, end_s: float) -> None:
+        counts = self.ends.counts
+        before = (counts.opened, counts.failed, counts.sent, counts.arrived)
+        self._turn_until(end_s)
+        opened, failed, sent, arrived = (
+            now - then
+            for now, then in zip(
+                (counts.opened, counts.failed, counts.sent, counts.arrived),
+                before,
+                strict=True,
+            )
+        )
+        if opened < RECOVERED_SHARE * (opened + failed):
+            self._find("recovery", f"{opened} flows opened, {failed} failed")
+        if arrived < RECOVERED_SHARE * sent:
+            self._find("recovery", f"{arrived} of {sent} packets arrived")
+
+    def _find(self, promise: str, detail: str) -> None:
+        self.ends.findings.append(Finding(promise, detail))
+
+
+def play(seed: int, length_s: float) -> int:
+    """Play one seed and print its line; the number of broken promises."""
+    directory = Path(tempfile.mkdtemp(prefix=f"hostsoak-{seed}-"))
+    soak = Soak(seed, directory)
+    try:
+        findings = soak.run(length_s)
+    finally:
+        soak.close()
+    line = f"seed={seed} faults={soak.faults} {soak.ends.counts.line()}"
+    print(f"{line} broken={len(findings)}", flush=True)
+    for finding in findings[:10]:
+        print(f"seed={seed} broken={finding.promise!r} {finding.detail}", flush=True)
+    if findings:
+        print(f"seed={seed} logs={directory}", flush=True)
+    else:
+        shutil.rmtree(directory)
+    return len(findings)
+
+
+def play_apart(seed: int, length_s: float) -> int:
+    """Play one seed in a process of its own."""
+    command = [sys.executable, "-m", "tests.hostsoak", "--seed", str(seed)]
+    command += ["--length-s", str(length_s)]
+    return subprocess.run(command).returncode
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", help="FIRST-LAST")
+    parser.add_argument("--parallel", type=int, default=4)
+    parser.add_argument("--length-s", type=float, default=20.0)
+    options = parser.parse_args()
+    if not options.seeds:
+        return 1 if play(options.seed, options.length_s) else 0
+    first, _, last = options.seeds.partition("-")
+    seeds = range(int(first), int(last) + 1)
+    with ThreadPoolExecutor(options.parallel) as executor:
+        statuses = list(
+            executor.map(lambda seed: play_apart(seed, options.length_s), seeds)
+        )
+    print(f"seeds={len(statuses)} with_findings={sum(map(bool, statuses))}")
+    return 1 if any(statuses) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
