--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -187,12 +187,15 @@
                 self._introduced_at_s = now_s
             take(peer, snapshot)
 
-        # Without the store there is nobody else to read a large one from.
-        followers = (self._config_follower, self._directory_follower)
-        wants_large_config = any(follower.is_failing() for follower in followers)
-        request = self._state.request(wants_peers, wants_large_config)
+        request = self._state.request(wants_peers, self._wants_large_config())
         self._link.ask(peer.address, request, finish)
 
+    def _wants_large_config(self) -> bool:
+        """Whether this host has no configuration yet, or cannot read the store."""
+        followers = (self._config_follower, self._directory_follower)
+        is_failing = any(follower.is_failing() for follower in followers)
+        return is_failing or self._state.view.config is None
+
     def _take_from_reader(self, peer: Peer, snapshot: Snapshot | None) -> None:
         now_s = self._scheduler.now_s()
         if snapshot is None or not snapshot.is_fresh:
--- a/tests/readsharing.feature
+++ b/tests/readsharing.feature
@@ -143,3 +143,11 @@
     And configuration 2 is put and 1.5 seconds pass
     Then every host runs configuration 2
     And 1 hosts read the store
+
+  Scenario: A host that starts takes a large configuration from a peer
+    # Pattern: all hosts come back at once in a large zone. Guards against a start that
+    # waits for the store's text, which is ten times as large as a peer's snapshot.
+    Given 40 sharing hosts in one zone with links of 250 KB a second
+    When configuration 2 with 2000 routes is put and 10 seconds pass
+    And a host starts in the first zone and 0.6 seconds pass
+    Then the new host knows configuration 2 and 2 upstreams
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -195,13 +195,22 @@
     context.fleet.store.silent_for = {f"host-{number}" for number in range(1, 20)}
 
 
-@when("a host starts and {duration_s:g} seconds pass")
-def when_start(context, duration_s):
+def start_host(context, zone, duration_s):
     seed = context.fleet.hosts[0].settings.control_listen
-    context.newcomer = context.fleet.add("b", (seed,))
+    context.newcomer = context.fleet.add(zone, (seed,))
     context.scheduler.run_for(duration_s)
 
 
+@when("a host starts and {duration_s:g} seconds pass")
+def when_start(context, duration_s):
+    start_host(context, "b", duration_s)
+
+
+@when("a host starts in the first zone and {duration_s:g} seconds pass")
+def when_start_first(context, duration_s):
+    start_host(context, "a", duration_s)
+
+
 @when("the store answers again and {duration_s:g} seconds pass")
 def when_back(context, duration_s):
     context.fleet.store.silent_for = set()
