Say why a host reads the store itself, and hold late packets out of the soak's checks

Cause: source_changed said that no peer reads, and not which peers were asked and what they answered. Change: the reason names each host that declined.

--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -134,7 +134,8 @@
         self._is_asking = False
         self._introduced_at_s = float("-inf")
         self._asked_at_s = 0.0
-        self._asked_in_turn = 0
+        # Why each host that was asked in this turn does not read for this one.
+        self._declined: list[str] = []
         # Until when what the hosts before this one said of the lost store counts.
         self._lost_until_s = float("-inf")
 
@@ -157,18 +158,17 @@
     def _tick(self) -> None:
         self._scheduler.call_later(self._settings.share_interval_s, self._tick)
         if not self._is_asking:
-            self._asked_in_turn = 0
+            self._declined.clear()
             self._follow_first()
 
     def _follow_first(self) -> None:
         """Ask the first host that may read for this one, or read oneself."""
         now_s = self._scheduler.now_s()
         reader = self._registry.reader(now_s)
-        if reader is not None and self._asked_in_turn < MAX_ASKED_IN_TURN:
-            self._asked_in_turn += 1
+        if reader is not None and len(self._declined) < MAX_ASKED_IN_TURN:
             self._ask(reader, self._take_from_reader)
             return
-        self._read_store("no peer reads")
+        self._read_store("; ".join(self._declined) or "no peer before this host")
         needs_help = self._is_store_lost() or self._state.directory.listing is None
         is_due = now_s - self._introduced_at_s >= INTRODUCTION_INTERVAL_S
         helpers = self._registry.helpers(now_s)
@@ -200,6 +200,7 @@
         now_s = self._scheduler.now_s()
         if snapshot is None or not snapshot.is_fresh:
             self._registry.avoid(peer.address, now_s)
+            self._declined.append(f"{peer.address} {_why_declined(snapshot)}")
             if snapshot is not None and snapshot.has_lost_store:
                 self._lost_until_s = now_s + STORE_LOST_S
                 # Entries that lapse now may do so because of the store.
@@ -283,3 +284,11 @@
             changes = directory.confirm(now_s, steady_s, age_s)
         if changes:
             self._observer.directory_applied(changes, source)
+
+
+def _why_declined(snapshot: Snapshot | None) -> str:
+    if snapshot is None:
+        return "does not answer"
+    if snapshot.has_lost_store:
+        return "has lost the store"
+    return f"is not fresh, listing_age_s={snapshot.listing_age_s}"
--- a/testbed/flowends.py
+++ b/testbed/flowends.py
@@ -60,7 +60,8 @@
         self.sequence = random.randrange(1 << 31)
         self.acknowledged = 0
         self.next_at_s = now_s
-        self.sent: set[bytes] = set()
+        # Packets without their tag, with the time at which each was sent.
+        self.sent: dict[bytes, float] = {}
 
     def is_over(self, now_s: float) -> bool:
         age_s = now_s - self.begun_at_s
@@ -93,7 +94,7 @@
         self._upstreams: dict[int, UpstreamEnd] = {}
         self.counts = Counts()
         self.findings: list[Finding] = []
-        self.on_opening = lambda upstream, host: None
+        self.on_opening = lambda upstream, host, sent_at_s: None
         self._selector = selectors.DefaultSelector()
         self._client = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._client.bind((client_ip, DATA_PORT))
@@ -178,7 +179,7 @@
         packet = pack_packet(
             flow.source, SERVICE, flags, flow.tag, flow.sequence, acknowledged, data
         )
-        flow.sent.add(packet[4:])
+        flow.sent[packet[4:]] = time.monotonic()
         self._client.sendto(packet, (flow.host.ip, DATA_PORT))
 
     def _take(self, data: bytes, ip: str, upstream: UpstreamEnd) -> None:
@@ -190,14 +191,15 @@
         flow = self._flows.get(_source(packet))
         if flow is None:
             return
-        if packet[4:] not in flow.sent:
+        sent_at_s = flow.sent.get(packet[4:])
+        if sent_at_s is None:
             self._find("unchanged packets", f"{flow.source} at i-{upstream.number:x}")
             return
         is_opening = HEADER.unpack_from(packet)[8] & SYN
         if not is_opening:
             self._take_data(flow, upstream, ip)
             return
-        self.on_opening(upstream, self._fleet.by_ip(ip))
+        self.on_opening(upstream, self._fleet.by_ip(ip), sent_at_s)
         if flow.home is None:
             flow.home = upstream
             flow.tag = int.from_bytes(packet[:4], "big")
--- a/testbed/platformstandin.py
+++ b/testbed/platformstandin.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
 HEADER = struct.Struct(">IIHIHHIIBBI")
@@ -165,7 +166,11 @@
         size = len(data) // TRICKLE_PARTS + 1 if is_trickling else len(data)
         for start in range(0, len(data), size):
             self.write(data[start : start + size])
-            await self.flush()
+            try:
+                await self.flush()
+            except StreamClosedError:
+                # The client has given up, or its link was cut.
+                return
             if is_trickling:
                 await asyncio.sleep(TRICKLE_PAUSE_S)
 
