Let a host that follows another one say whom

Cause: on the grown site hosts turn to the store 12 times in 24 calm seconds. The log now says why: the three hosts that they ask in turn follow somebody themselves, and the reader is left alone for 3 s after it once did not answer in time.

--- a/src/wisteriatiller/steering/peers.py
+++ b/src/wisteriatiller/steering/peers.py
@@ -72,6 +72,11 @@
         """Note that a host has nothing to give for the moment."""
         self._avoided_until_s[address] = now_s + AVOIDED_S
 
+    def recommend(self, peer: Peer, now_s: float) -> None:
+        """Note that another host gets from this one what it needs."""
+        self.add_all((peer,), now_s)
+        self._avoided_until_s.pop(peer.address, None)
+
     def known(self) -> tuple[Peer, ...]:
         return tuple(self._heard_at_s)
 
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -131,6 +131,7 @@
         self._observer = observer
         self._changed_source = changed_source
         self.source = Source.STORE
+        self._reader: Peer | None = None
         self._is_asking = False
         self._introduced_at_s = float("-inf")
         self._asked_at_s = 0.0
@@ -150,7 +151,9 @@
         is_lost = self._is_store_lost()
         is_reading = self.source is Source.STORE and not is_lost
         now_s = self._scheduler.now_s()
-        return self._state.snapshot(request, is_reading, is_lost, now_s)
+        snapshot = self._state.snapshot(request, is_reading, is_lost, now_s)
+        follows = None if self._reader is None else self._reader.address
+        return snapshot._replace(follows=follows)
 
     def _is_store_lost(self) -> bool:
         return self._config_follower.is_lost() or self._directory_follower.is_lost()
@@ -201,13 +204,12 @@
         if snapshot is None or not snapshot.is_fresh:
             self._registry.avoid(peer.address, now_s)
             self._declined.append(f"{peer.address} {_why_declined(snapshot)}")
-            if snapshot is not None and snapshot.has_lost_store:
-                self._lost_until_s = now_s + STORE_LOST_S
-                # Entries that lapse now may do so because of the store.
-                self._state.directory.store_lost()
+            if snapshot is not None:
+                self._learn_why(snapshot)
             self._follow_first()
             return
         self._registry.add(peer, now_s)
+        self._reader = peer
         self._learn(peer, snapshot, snapshot.steady_s)
         if self.source is Source.STORE:
             self.source = Source.PEER
@@ -215,6 +217,17 @@
             self._directory_follower.pause()
             self._changed_source(self.source, f"follows {peer.address}")
 
+    def _learn_why(self, snapshot: Snapshot) -> None:
+        """Learn from a host that does not read whom it follows, or what it lost."""
+        now_s = self._scheduler.now_s()
+        if snapshot.follows is not None:
+            reader = Peer(snapshot.follows, self._registry.own.zone)
+            self._registry.recommend(reader, now_s)
+        if snapshot.has_lost_store:
+            self._lost_until_s = now_s + STORE_LOST_S
+            # Entries that lapse now may do so because of the store.
+            self._state.directory.store_lost()
+
     def _take_help(self, peer: Peer, snapshot: Snapshot | None) -> None:
         now_s = self._scheduler.now_s()
         if snapshot is None:
@@ -229,6 +242,7 @@
 
     def _read_store(self, reason: str) -> None:
         """Read, with one kind of call only while the store may be away."""
+        self._reader = None
         is_patient = self._scheduler.now_s() < self._lost_until_s
         self._directory_follower.resume(is_patient)
         if self._directory_follower.is_failing():
@@ -291,4 +305,6 @@
         return "does not answer"
     if snapshot.has_lost_store:
         return "has lost the store"
+    if snapshot.follows is not None:
+        return f"follows {snapshot.follows}"
     return f"is not fresh, listing_age_s={snapshot.listing_age_s}"
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -43,9 +43,9 @@
     """What a host believes; ``config`` and ``listing`` are None if not newer.
 
     ``is_fresh`` says that others may follow the host, and ``has_lost_store`` that it
-    tries to read the store in vain. ``steady_s`` says for how long
-    the store has been read without a failure. An age of None means that there is
-    nothing.
+    tries to read the store in vain. ``follows`` names the host that reads for it.
+    ``steady_s`` says for how long the store has been read without a failure. An age of
+    None means that there is nothing.
     """
 
     config_version: ConfigVersion
@@ -58,6 +58,7 @@
     is_fresh: bool
     has_lost_store: bool
     peers: tuple[tuple[Address, ZoneId], ...]
+    follows: Address | None = None
 
 
 def encode_request(request: SnapshotRequest) -> str:
@@ -156,6 +157,7 @@
             (Address(str(ip), int(port)), ZoneId(str(zone)))
             for ip, port, zone in raw.peers
         ),
+        follows=None if raw.follows is None else Address(*raw.follows),
     )
 
 
--- a/tests/readsharing.feature
+++ b/tests/readsharing.feature
@@ -151,3 +151,11 @@
     When configuration 2 with 2000 routes is put and 10 seconds pass
     And a host starts in the first zone and 0.6 seconds pass
     Then the new host knows configuration 2 and 2 upstreams
+
+  Scenario: A host that gave up on its reader finds it again through others
+    # Guards against hosts of a large zone that read the store, since the three that they
+    # ask in turn follow somebody themselves.
+    Given 40 sharing hosts in one zone with links of 250 KB a second
+    When 10 seconds of sharing pass
+    And every fourth host gives up on the reader and 1 seconds pass
+    Then 1 hosts read the store
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -201,6 +201,15 @@
     context.scheduler.run_for(duration_s)
 
 
+@when("every fourth host gives up on the reader and {duration_s:g} seconds pass")
+def when_gives_up(context, duration_s):
+    (reader,) = readers(context)
+    now_s = context.scheduler.now_s()
+    for host in context.fleet.hosts[3::4]:
+        host.state.registry.avoid(reader.settings.control_listen, now_s)
+    context.scheduler.run_for(duration_s)
+
+
 @when("a host starts and {duration_s:g} seconds pass")
 def when_start(context, duration_s):
     start_host(context, "b", duration_s)
