Let only a host that reads the store itself say that it is lost

A follower reads the listing once when it meets an unknown tag. If such reads failed twice, it told others that the store was lost, and they tried the store less often although their reader had it. Change: a follower says nothing of the store. The scenario fails before the change.

--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -148,8 +148,9 @@
 
     def snapshot(self, request: SnapshotRequest) -> Snapshot:
         """The answer to a host that asks for what is newer than its own."""
-        is_lost = self._is_store_lost()
-        is_reading = self.source is Source.STORE and not is_lost
+        reads_itself = self.source is Source.STORE
+        is_lost = reads_itself and self._is_store_lost()
+        is_reading = reads_itself and not is_lost
         now_s = self._scheduler.now_s()
         snapshot = self._state.snapshot(request, is_reading, is_lost, now_s)
         follows = None if self._reader is None else self._reader.address
--- a/tests/readsharing.feature
+++ b/tests/readsharing.feature
@@ -159,3 +159,10 @@
     When 10 seconds of sharing pass
     And every fourth host gives up on the reader and 1 seconds pass
     Then 1 hosts read the store
+
+  Scenario: A follower whose single reads fail has not lost the store
+    # Guards against followers that make others wait for a store which their reader reads.
+    When 20 seconds of sharing pass
+    And the store refuses all hosts but the readers
+    And the followers read the listing at once, three times
+    Then no follower says that it has lost the store
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -297,3 +297,25 @@
 @then("that host still runs configuration {version:d}")
 def then_still(context, version):
     check_version([context.ahead], version)
+
+
+def followers(context):
+    return [host for host in context.fleet.hosts if host.sharing.source is Source.PEER]
+
+
+@when("the followers read the listing at once, three times")
+def when_hurry(context):
+    for _ in range(3):
+        for host in followers(context):
+            host.followers[1].hurry()
+        context.scheduler.run_for(0.4)
+
+
+@then("no follower says that it has lost the store")
+def then_not_lost(context):
+    answers = [
+        host.sharing.snapshot(host.state.request(False, False))
+        for host in followers(context)
+    ]
+    assert len(answers) == 9, len(answers)
+    assert not [answer for answer in answers if answer.has_lost_store]
