--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -8,12 +8,13 @@
 import subprocess
 import sys
 import tempfile
+import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 PARALLEL_FEATURES = 4
-REAL_TIME_FEATURES = frozenset(("process.feature",))
+REAL_TIME_FEATURES = frozenset(("hostsoak.feature", "process.feature"))
 FEATURE_TIMEOUT_S = 900
 
 
@@ -41,6 +42,7 @@
 
 def run_feature(feature: Path) -> tuple[int, int]:
     """Count the scenarios of one feature, run in a process of its own."""
+    started_s = time.monotonic()
     with tempfile.TemporaryDirectory() as directory:
         report = Path(directory) / "behave.json"
         command = [sys.executable, "-m", "behave", "-f", "json"]
@@ -60,7 +62,9 @@
     if result.returncode != 0:
         failed = max(failed, 1)
         print(result.stdout[-8000:], result.stderr[-2000:], sep="\n", flush=True)
-    print(f"feature={feature.name} passed={passed} failed={failed}", flush=True)
+    took_s = time.monotonic() - started_s
+    line = f"feature={feature.name} passed={passed} failed={failed} took_s={took_s:.0f}"
+    print(line, flush=True)
     return passed, failed
 
 
--- a/tests/steering.feature
+++ b/tests/steering.feature
@@ -116,3 +116,12 @@
     And 1 open flows
     When a copy of the first flow's opening comes late
     Then the copy goes to the first flow's upstream
+
+  Scenario: No order of reads takes a configuration back
+    # Guards against a late or stale read that overtakes a newer one.
+    Then in any order of 12 versions the newest one so far is in force
+
+  Scenario: Any set of upstreams has one owner for each tag
+    # Guards against two upstreams that a packet's tag cannot tell apart, whatever comes
+    # and goes first.
+    Then in any listing each tag names one upstream, and only owners get new flows
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -1,16 +1,20 @@
 """Steps for the steering of packets."""
 
 from behave import given, then, when
+from hypothesis import given as hypothesis_given, settings, strategies
 
 from tests.steeringworld import (
     OTHER_ADDRESS,
     SteeringWorld,
     established,
+    listing,
     opening,
     route_config,
     upstream,
 )
 from wisteriatiller.steering import Forward, PacketKind, Refuse, UpstreamState
+from wisteriatiller.steering.directory import UpstreamDirectory
+from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.upstreams import upstream_tag
 
 ZONES = "abc"
@@ -231,3 +235,54 @@
 @then("the copy goes to the first flow's upstream")
 def then_copy(context):
     assert context.decision.upstream == context.homes[0], context.decision
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis_given(strategies.lists(strategies.integers(1, 12), max_size=24))
+def check_versions(versions):
+    view = ConfigView()
+    newest = 0
+    for version in versions:
+        is_taken = view.apply(route_config(version, ("stock", 1.0)))
+        assert is_taken == (version > newest)
+        newest = max(newest, version)
+        assert view.version == newest
+        if view.config is not None:
+            assert view.config.version == newest
+
+
+@then("in any order of 12 versions the newest one so far is in force")
+def then_newest(context):
+    check_versions()
+
+
+# The first two ids have the same tag.
+IDS = ("3bd50", "a10a6", "1", "2")
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis_given(
+    strategies.lists(
+        strategies.lists(strategies.sampled_from(IDS), unique=True), max_size=8
+    )
+)
+def check_tags(listings):
+    directory = UpstreamDirectory()
+    for revision, names in enumerate(listings, 1):
+        made = listing(revision, *map(upstream, names))
+        directory.apply(made, 1000.0, steady_s=60.0)
+        owners = [
+            entry
+            for entry in directory.entries()
+            if directory.by_tag(entry.tag) is entry
+        ]
+        assert len({entry.tag for entry in owners}) == len(owners)
+        listed = {upstream_tag(f"i-{name}") for name in names}
+        for entry in directory.of_service("stock"):
+            assert directory.by_tag(entry.tag) is entry
+            assert entry.tag in listed
+
+
+@then("in any listing each tag names one upstream, and only owners get new flows")
+def then_owners(context):
+    check_tags()
