Split the dispatcher into attempts, endings, repeats and the expiry of its queue

Change: gates (what the owner allows), attempts (sent, sent again, timed out), endings (the one final answer), repeats (the budget), queueexpiry. The dispatcher keeps the order.

--- a/src/wisteriatiller/requests/__init__.py
+++ b/src/wisteriatiller/requests/__init__.py
@@ -1,6 +1,6 @@
 """A request at its owner: limits, queues, duplicates, retries and health."""
 
-from .dispatch import DispatchGate, DispatchPolicy, UpstreamDispatcher
+from .dispatch import UpstreamDispatcher
 from .duplicates import (
     EXCHANGE_LIFETIME_S,
     FINAL_STATES,
@@ -9,6 +9,7 @@
     RequestRecord,
     RequestState,
 )
+from .gates import DispatchGate, DispatchPolicy
 from .health import PROBE_INTERVAL_S, HealthEvent, HealthListener, UpstreamHealth
 from .queueing import Request
 
--- /dev/null
+++ b/src/wisteriatiller/requests/attempts.py
@@ -0,0 +1,117 @@
+"""Attempts of requests at their upstream: sent, sent again, timed out."""
+
+import asyncio
+from collections.abc import Callable
+
+from wisteriatiller.configuration import Upstream
+from wisteriatiller.exceptions import check_invariant
+from wisteriatiller.foundation import Environment
+from wisteriatiller.outcomes import Reason, Refused
+
+from .admission import Admission
+from .duplicates import RequestState
+from .endings import RequestEndings
+from .gates import DispatchGate
+from .health import UpstreamHealth
+from .inflight import InFlightRequests
+from .queueing import Request
+from .repeats import Repeats
+from .retries import MAX_DISPATCHES, MIN_RESEND_SERVICE_TIMES
+
+# A non-idempotent request is not sent with less lease left than this, since the
+# upstream would refuse most of them for their short deadline.
+MIN_LEASE_S = 0.05
+# Time an answer may take on the network beyond the deadline given to the upstream.
+ANSWER_GRACE_S = 0.1
+
+
+class Attempts:
+    """Sends requests and watches over those in flight; ``pump`` follows a free slot."""
+
+    def __init__(
+        self,
+        environment: Environment,
+        upstream: Upstream,
+        gate: DispatchGate,
+        health: UpstreamHealth,
+        admission: Admission,
+        in_flight: InFlightRequests,
+        repeats: Repeats,
+        endings: RequestEndings,
+        pump: Callable[[], None],
+    ):
+        self.upstream = upstream
+        self._environment = environment
+        self._gate = gate
+        self._health = health
+        self._admission = admission
+        self._in_flight = in_flight
+        self._repeats = repeats
+        self._endings = endings
+        self._pump = pump
+
+    def begin(self, request: Request) -> None:
+        """Send a request to the upstream, which may start it from now on."""
+        # The upstream must not start the request later than this.
+        start_by_s = request.deadline_s
+        now_s = self._now_s()
+        if not request.head.is_idempotent:
+            lease_s = self._gate.lease_remaining_s()
+            if lease_s < MIN_LEASE_S:
+                self._endings.finish_refused(request, Refused(Reason.NO_LEASE))
+                return
+            start_by_s = min(start_by_s, now_s + lease_s)
+            check_invariant(
+                request.dispatches == 0,
+                "non_idempotent_dispatched_once",
+                upstream=self.upstream.upstream_id,
+            )
+        self._in_flight.assign_message_id(request)
+        request.record.state = RequestState.DISPATCHED
+        request.may_have_run = True
+        request.dispatches += 1
+        request.dispatched_s = now_s
+        self._in_flight.add(request)
+        check_invariant(
+            len(self._in_flight) <= self.upstream.slots,
+            "slots_not_exceeded",
+            upstream=self.upstream.upstream_id,
+        )
+        # Once started, a request may outlast the lease that it was sent under: the
+        # renewed lease or the successor's records keep it from running again.
+        self._set_timers(request, request.deadline_s - now_s)
+        self._in_flight.send(request, start_by_s)
+
+    def _set_timers(self, request: Request, remaining_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        wait_s = remaining_s + ANSWER_GRACE_S
+        timers = [loop.call_later(wait_s, self._time_out, request)]
+        # Sent again before an answer can be expected, it would only cost the budget.
+        expected_s = MIN_RESEND_SERVICE_TIMES * self._admission.service_time_s()
+        if request.head.is_idempotent and remaining_s / 2 >= expected_s:
+            timers.append(loop.call_later(remaining_s / 2, self._resend, request))
+        self._in_flight.set_timers(request, timers)
+
+    def _resend(self, request: Request) -> None:
+        """Send an unanswered idempotent request again, under the same message id."""
+        if (
+            request not in self._in_flight
+            or request.dispatches >= MAX_DISPATCHES
+            or not self._repeats.may_repeat(request)
+        ):
+            return
+        request.dispatches += 1
+        request.resent = True
+        self._in_flight.send(request, request.deadline_s)
+
+    def _time_out(self, request: Request) -> None:
+        if request not in self._in_flight:
+            return
+        self._in_flight.release(request, answered=False)
+        self._health.failed(self._now_s() - request.dispatched_s)
+        self._in_flight.send_cancel(request)
+        self._endings.finish_unknown(request, Reason.TIMEOUT)
+        self._pump()
+
+    def _now_s(self) -> float:
+        return self._environment.clock.now_s()
--- a/testbed/bench_policy.py
+++ b/testbed/bench_policy.py
@@ -17,7 +17,7 @@
 import time
 
 from wisteriatiller.ids import UpstreamId
-from wisteriatiller.requests.dispatch import DispatchPolicy
+from wisteriatiller.requests.gates import DispatchPolicy
 from wisteriatiller.transport import proxyheader
 
 from .policyworld import Flow, Result, Sizes, World, run_virtual
