--- a/src/wisteriatiller/leases/__init__.py
+++ b/src/wisteriatiller/leases/__init__.py
@@ -2,9 +2,10 @@
 
 from .grantors import LeaseGrantor
 from .grantorviews import GrantorViews
-from .lease import MajorityLeases, ShardLeases
+from .lease import MajorityLeases
 from .leaserounds import FormerHolder
 from .ownership import Ownership
+from .shardleases import ShardLeases
 
 __all__ = [
     "FormerHolder",
--- a/src/wisteriatiller/leases/lease.py
+++ b/src/wisteriatiller/leases/lease.py
@@ -1,7 +1,6 @@
 """Leases of ownership shards."""
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,8 +12,7 @@
 from .grantorviews import LEASE_S, GrantorViews
 from .leaserounds import FormerHolder, GrantorRounds, LeaseRound
 from .ownership import Ownership, shard_key
-
-LeaseListener = Callable[[ShardId, int], None]
+from .shardleases import ShardLeases
 
 RENEW_INTERVAL_S = 1.0
 RENEW_RETRY_S = 0.2
@@ -37,29 +35,6 @@
 EPOCH_TRIES = 3
 
 
-class ShardLeases(ABC):
-    """The leases that this host holds.
-
-    ``on_acquired`` is called with the shard and the epoch of a new lease, and
-    ``on_lost`` when a lease ran out or was released.
-    """
-
-    on_acquired: LeaseListener = staticmethod(lambda shard, epoch: None)
-    on_lost: LeaseListener = staticmethod(lambda shard, epoch: None)
-
-    @abstractmethod
-    def remaining_s(self, shard: ShardId) -> float:
-        """Time left on this host's clock; 0 if the lease is not held."""
-
-    @abstractmethod
-    def epoch(self, shard: ShardId) -> int:
-        """The epoch of the held lease; 0 if the lease is not held."""
-
-    @abstractmethod
-    async def release(self, shard: ShardId) -> None:
-        """Give the lease up at the grantors so that a successor need not wait."""
-
-
 @dataclass(slots=True)
 class _HeldLease:
     epoch: int
--- /dev/null
+++ b/src/wisteriatiller/leases/shardleases.py
@@ -0,0 +1,31 @@
+"""What the owner of shards asks of its leases."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from wisteriatiller.ids import ShardId
+
+LeaseListener = Callable[[ShardId, int], None]
+
+
+class ShardLeases(ABC):
+    """The leases that this host holds.
+
+    ``on_acquired`` is called with the shard and the epoch of a new lease, and
+    ``on_lost`` when a lease ran out or was released.
+    """
+
+    on_acquired: LeaseListener = staticmethod(lambda shard, epoch: None)
+    on_lost: LeaseListener = staticmethod(lambda shard, epoch: None)
+
+    @abstractmethod
+    def remaining_s(self, shard: ShardId) -> float:
+        """Time left on this host's clock; 0 if the lease is not held."""
+
+    @abstractmethod
+    def epoch(self, shard: ShardId) -> int:
+        """The epoch of the held lease; 0 if the lease is not held."""
+
+    @abstractmethod
+    async def release(self, shard: ShardId) -> None:
+        """Give the lease up at the grantors so that a successor need not wait."""
--- a/testbed/policyworld.py
+++ b/testbed/policyworld.py
@@ -40,7 +40,7 @@
     UpstreamId,
     ZoneId,
 )
-from wisteriatiller.leases.lease import ShardLeases
+from wisteriatiller.leases.shardleases import ShardLeases
 from wisteriatiller.owners.balance import BoundedLoadChooser
 from wisteriatiller.owners.flows import FlowRecord, FlowState
 from wisteriatiller.owners.loads import LoadBoard
