Let the bench of steering and its tests share their parts

Cause: flowworld.py wrote again what steeringworld.py had: virtual time, settings, an upstream, a route. Its three troubles were one function with another attribute each, and the times of a client's opening packets stood twice. Change: testbed/steeringparts.py holds them once; a trouble sets one attribute and is switched on and off in one place. Tests keep their assertions.

--- a/testbed/bench_steering.py
+++ b/testbed/bench_steering.py
@@ -16,7 +16,7 @@
 from wisteriatiller.steering.steering import FlowSteering
 
 from .flowpolicies import LeastFlowsChooser, RendezvousChooser, TwoChoicesChooser
-from .flowworld import FlowSizes, FlowWorld
+from .flowworld import FlowSizes, FlowWorld, WorkingUpstream
 
 LOADS = (1.0, 1.5, 3.0)
 LENGTH_S = 20.0
@@ -32,52 +32,26 @@
 }
 
 
-def calm(world: FlowWorld) -> None:
+def calm(upstream: WorkingUpstream, is_on: bool) -> None:
     """No trouble."""
 
 
-def slow(world: FlowWorld) -> None:
-    """One upstream of the first zone works five times as long for a while."""
-    upstream = next(iter(world.upstreams.values()))
-
-    def begin() -> None:
-        upstream.slowness = SLOWNESS
+def slow(upstream: WorkingUpstream, is_on: bool) -> None:
+    """It works five times as long."""
+    upstream.slowness = SLOWNESS if is_on else 1.0
 
-    def end() -> None:
-        upstream.slowness = 1.0
 
-    world.clock.later(TROUBLE_AT_S, begin)
-    world.clock.later(TROUBLE_AT_S + TROUBLE_LENGTH_S, end)
+def dark(upstream: WorkingUpstream, is_on: bool) -> None:
+    """It answers nothing, and stays listed."""
+    upstream.is_dark = is_on
 
 
-def dark(world: FlowWorld) -> None:
-    """One upstream of the first zone answers nothing, and stays listed."""
-    upstream = next(iter(world.upstreams.values()))
-
-    def begin() -> None:
-        upstream.is_dark = True
-
-    def end() -> None:
-        upstream.is_dark = False
-
-    world.clock.later(TROUBLE_AT_S, begin)
-    world.clock.later(TROUBLE_AT_S + TROUBLE_LENGTH_S, end)
-
-
-def mute(world: FlowWorld) -> None:
-    """One upstream of the first zone opens flows and answers no request."""
-    upstream = next(iter(world.upstreams.values()))
-
-    def begin() -> None:
-        upstream.is_mute = True
-
-    def end() -> None:
-        upstream.is_mute = False
-
-    world.clock.later(TROUBLE_AT_S, begin)
-    world.clock.later(TROUBLE_AT_S + TROUBLE_LENGTH_S, end)
+def mute(upstream: WorkingUpstream, is_on: bool) -> None:
+    """It opens flows and answers no request."""
+    upstream.is_mute = is_on
 
 
+# What befalls one upstream of the first zone for a while.
 CASES = {case.__name__: case for case in (calm, slow, dark, mute)}
 
 
@@ -86,7 +60,11 @@
     sizes = FlowSizes()
     sizes = sizes._replace(requests_per_s=load * sizes.requests_per_s)
     world = FlowWorld(sizes, seed, POLICIES[policy])
-    CASES[case_name](world)
+    trouble = CASES[case_name]
+    upstream = next(iter(world.upstreams.values()))
+    end_s = TROUBLE_AT_S + TROUBLE_LENGTH_S
+    world.clock.call_later(TROUBLE_AT_S, lambda: trouble(upstream, True))
+    world.clock.call_later(end_s, lambda: trouble(upstream, False))
     result = world.run(LENGTH_S)
     pairs = [f"case={case_name}", f"policy={policy}", f"load={load:g}", f"seed={seed}"]
     pairs += [
--- a/testbed/flowends.py
+++ b/testbed/flowends.py
@@ -11,10 +11,9 @@
 
 from .hostfleet import DATA_PORT, FleetHost, HostFleet
 from .platformstandin import ACK, FIN, HEADER, RST, SYN, pack_packet
+from .steeringparts import COPY_TIMES_S, OPENING_LIMIT_S
 
 SERVICE = "198.18.0.1:443"
-COPY_TIMES_S = (0.0, 0.2, 0.6)
-OPENING_LIMIT_S = 1.4
 PACKET_INTERVAL_S = 0.12
 FLOW_LENGTH_S = 4.0
 # Packets of a flow come through another host with this chance.
--- a/testbed/flowworld.py
+++ b/testbed/flowworld.py
@@ -7,27 +7,19 @@
     result = world.run(20.0)
 """
 
-import heapq
 import random
 from collections import deque
 from collections.abc import Callable
 from itertools import count
 from typing import NamedTuple
 
-from wisteriatiller.ids import Address, FlowKey, HostId, Revision, ServiceId, ZoneId
+from wisteriatiller.ids import FlowKey, Revision, ZoneId
 from wisteriatiller.steering import (
-    ConfigVersion,
     Forward,
     Listing,
     Packet,
     PacketKind,
-    Route,
-    RouteConfig,
-    ServiceAddress,
-    SteeringSettings,
     Upstream,
-    UpstreamState,
-    WeightedService,
 )
 from wisteriatiller.steering.choice import FlowChooser
 from wisteriatiller.steering.directory import UpstreamDirectory
@@ -35,11 +27,17 @@
 from wisteriatiller.steering.steering import FlowSteering, SteeringObserver
 from wisteriatiller.steering.upstreams import NO_TAG, upstream_tag
 
-SERVICE = ServiceId("stock")
-SERVICE_ADDRESS = ServiceAddress(bytes((198, 18, 0, 1, 1, 187)))
+from .steeringparts import (
+    COPY_TIMES_S,
+    OPENING_LIMIT_S,
+    SERVICE_ADDRESS,
+    VirtualScheduler,
+    route_config,
+    steering_settings,
+    upstream as make_upstream,
+)
+
 ROUND_TRIP_S = 0.008
-COPY_TIMES_S = (0.0, 0.2, 0.6)
-OPENING_LIMIT_S = 1.4
 REPEAT_TIMES_S = (0.2, 0.6, 1.4)
 RETRY_PAUSE_S = 0.02
 MAX_RETRIES = 2
@@ -79,25 +77,6 @@
     busiest_to_mean: float
 
 
-class Clock:
-    """Events in the order of their time."""
-
-    def __init__(self):
-        self.now_s = 1000.0
-        self._order = count()
-        self._events = []
-
-    def later(self, delay_s: float, action: Callable[[], None]) -> None:
-        due_s = self.now_s + delay_s
-        heapq.heappush(self._events, (due_s, next(self._order), action))
-
-    def run_until(self, end_s: float) -> None:
-        while self._events and self._events[0][0] <= end_s:
-            self.now_s, _, action = heapq.heappop(self._events)
-            action()
-        self.now_s = end_s
-
-
 class SilentObserver(SteeringObserver):
     """Takes no notice of what steering reports."""
 
@@ -129,7 +108,7 @@
 class WorkingUpstream:
     """An upstream that may be slow, or dark and answer nothing."""
 
-    def __init__(self, clock: Clock, listed: Upstream):
+    def __init__(self, clock: VirtualScheduler, listed: Upstream):
         self._clock = clock
         self.listed = listed
         self.slowness = 1.0
@@ -160,7 +139,7 @@
             if self._queue:
                 self._begin(*self._queue.popleft())
 
-        self._clock.later(work_s * self.slowness, finish)
+        self._clock.call_later(work_s * self.slowness, finish)
 
 
 class Session:
@@ -183,10 +162,10 @@
     def begin(self) -> None:
         """Think, then make a request."""
         pause_s = self._rng.expovariate(1.0 / self._world.sizes.think_s)
-        self._world.clock.later(pause_s, self._request)
+        self._world.clock.call_later(pause_s, self._request)
 
     def _request(self) -> None:
-        self._started_s = self._world.clock.now_s
+        self._started_s = self._world.clock.now_s()
         self._retries = 0
         if self._upstream is None:
             self._open()
@@ -199,10 +178,10 @@
         self._host = self._world.any_host(self._zone_index)
         self._flow = self._world.next_flow(self._zone_index)
         for copy, time_s in enumerate(COPY_TIMES_S):
-            self._world.clock.later(
+            self._world.clock.call_later(
                 time_s, lambda copy=copy: self._knock(attempt, copy)
             )
-        self._world.clock.later(OPENING_LIMIT_S, lambda: self._give_up(attempt))
+        self._world.clock.call_later(OPENING_LIMIT_S, lambda: self._give_up(attempt))
 
     def _is_current(self, attempt: int) -> bool:
         return attempt == self._attempt
@@ -216,7 +195,7 @@
             return
         upstream = self._world.upstreams[decision.upstream.upstream_id]
         if not upstream.is_dark:
-            self._world.clock.later(
+            self._world.clock.call_later(
                 ROUND_TRIP_S, lambda: self._opened(attempt, upstream)
             )
 
@@ -236,23 +215,23 @@
         self._attempt += 1
         attempt = self._attempt
         sizes = self._world.sizes
-        left_s = self._started_s + sizes.deadline_s - self._world.clock.now_s
-        self._world.clock.later(max(0.0, left_s), lambda: self._time_out(attempt))
+        left_s = self._started_s + sizes.deadline_s - self._world.clock.now_s()
+        self._world.clock.call_later(max(0.0, left_s), lambda: self._time_out(attempt))
         self._steer(PacketKind.ESTABLISHED, REQUEST_BYTES)
         if self._upstream.is_dark:
             for time_s in REPEAT_TIMES_S:
-                self._world.clock.later(time_s, lambda: self._repeat(attempt))
+                self._world.clock.call_later(time_s, lambda: self._repeat(attempt))
             return
         work_s = sizes.work_s * self._rng.lognormvariate(0.0, sizes.work_spread)
         if not self._upstream.work(work_s, lambda: self._respond(attempt)):
-            self._world.clock.later(ROUND_TRIP_S, lambda: self._rejected(attempt))
+            self._world.clock.call_later(ROUND_TRIP_S, lambda: self._rejected(attempt))
 
     def _repeat(self, attempt: int) -> None:
         if self._is_current(attempt) and self._upstream is not None:
             self._steer(PacketKind.ESTABLISHED, REQUEST_BYTES)
 
     def _respond(self, attempt: int) -> None:
-        self._world.clock.later(ROUND_TRIP_S, lambda: self._answered(attempt))
+        self._world.clock.call_later(ROUND_TRIP_S, lambda: self._answered(attempt))
 
     def _answered(self, attempt: int) -> None:
         if not self._is_current(attempt):
@@ -261,7 +240,7 @@
         self._sequence += REQUEST_BYTES
         self._acknowledged += RESPONSE_BYTES
         self._steer(PacketKind.ESTABLISHED, 0)
-        self._world.finish(self._world.clock.now_s - self._started_s)
+        self._world.finish(self._world.clock.now_s() - self._started_s)
         if self._rng.random() < 1.0 / self._world.sizes.requests_per_flow:
             self._close(PacketKind.CLOSING)
         self.begin()
@@ -284,14 +263,14 @@
         self._upstream = None
 
     def _fail(self) -> None:
-        waited_s = self._world.clock.now_s - self._started_s
+        waited_s = self._world.clock.now_s() - self._started_s
         self._attempt += 1
         if self._retries == MAX_RETRIES or waited_s >= self._world.sizes.deadline_s:
             self._world.finish(None)
             self.begin()
             return
         self._retries += 1
-        self._world.clock.later(RETRY_PAUSE_S, self._open)
+        self._world.clock.call_later(RETRY_PAUSE_S, self._open)
 
     def _steer(self, kind: PacketKind, payload_bytes: int, copy: int = 0):
         tag = NO_TAG
@@ -307,7 +286,7 @@
             payload_bytes=payload_bytes,
             copy=copy,
         )
-        return self._host.steer(packet, self._world.clock.now_s)
+        return self._host.steer(packet, self._world.clock.now_s())
 
 
 class FlowWorld:
@@ -318,7 +297,7 @@
     ):
         self.sizes = sizes
         self.rng = random.Random(seed)
-        self.clock = Clock()
+        self.clock = VirtualScheduler()
         self.copies = 0
         self._waits_s: list[float | None] = []
         self._flows = count(1)
@@ -339,11 +318,11 @@
 
     def run(self, length_s: float) -> FlowResult:
         """Play so many seconds; the first two are not counted."""
-        self.clock.run_until(self.clock.now_s + 2.0)
+        self.clock.run_for(2.0)
         self._waits_s.clear()
         self.copies = 0
         self._sample()
-        self.clock.run_until(self.clock.now_s + length_s)
+        self.clock.run_for(length_s)
         return self._result()
 
     def finish(self, waited_s: float | None) -> None:
@@ -370,7 +349,7 @@
         mean = sum(flows) / len(flows)
         if mean:
             self._ratios.append(max(flows) / mean)
-        self.clock.later(SAMPLE_INTERVAL_S, self._sample)
+        self.clock.call_later(SAMPLE_INTERVAL_S, self._sample)
 
     def _result(self) -> FlowResult:
         waits_s = self._waits_s
@@ -393,15 +372,8 @@
 
 def _listed(sizes: FlowSizes) -> list[Upstream]:
     return [
-        Upstream(
-            upstream_id=f"i-{zone + 1:x}{number:03x}",
-            service=SERVICE,
-            address=Address("10.128.0.9", 8080),
-            zone=_zone_id(zone),
-            slots=sizes.slots,
-            state=UpstreamState.READY,
-            cold_for_ms=0,
-            started_ms=1,
+        make_upstream(
+            f"{zone + 1:x}{number:03x}", zone=_zone_id(zone), slots=sizes.slots
         )
         for zone, number_of in enumerate(sizes.upstreams_by_zone)
         for number in range(number_of)
@@ -413,31 +385,18 @@
 
 
 def _host(
-    zone: int, listing: Listing, make_chooser: SteeringMaker | None, clock: Clock
+    zone: int,
+    listing: Listing,
+    make_chooser: SteeringMaker | None,
+    clock: VirtualScheduler,
 ) -> FlowSteering:
     directory, config = UpstreamDirectory(), ConfigView()
-    steering = FlowSteering(_settings(zone), directory, config, SilentObserver())
+    steering = FlowSteering(
+        steering_settings(_zone_id(zone)), directory, config, SilentObserver()
+    )
     if make_chooser is not None:
         steering.chooser = make_chooser(steering)
-    directory.apply(listing, clock.now_s, steady_s=60.0)
-    route = Route("route", SERVICE_ADDRESS, (WeightedService(SERVICE, 1.0),))
-    config.apply(RouteConfig(ConfigVersion(1), (route,), 15_000))
-    config.confirm(clock.now_s)
+    directory.apply(listing, clock.now_s(), steady_s=60.0)
+    config.apply(route_config(1, ("stock", 1.0)))
+    config.confirm(clock.now_s())
     return steering
-
-
-def _settings(zone: int) -> SteeringSettings:
-    address = Address("10.0.0.1", 8172)
-    return SteeringSettings(
-        host_id=HostId("host"),
-        zone=_zone_id(zone),
-        data_listen=address,
-        ready_listen=address,
-        control_listen=address,
-        metrics_listen=address,
-        return_port=address.port,
-        store=address,
-        seeds=(),
-        stop_timeout_s=2.0,
-        max_value_bytes=1_048_576,
-    )
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -1,6 +1,7 @@
 """A store and hosts that share its reads, on virtual time."""
 
-from tests.steeringworld import listing, steering_settings
+from testbed.steeringparts import steering_settings
+from tests.steeringworld import listing
 from wisteriatiller.steering.directory import UpstreamDirectory
 from wisteriatiller.steering.followers import (
     ConfigFollower,
--- a/tests/steeringworld.py
+++ b/tests/steeringworld.py
@@ -1,10 +1,7 @@
 """Upstreams, packets and hosts for the features of flow steering, without a network."""
 
-import heapq
-from itertools import count
-
-from wisteriatiller.ids import Address, FlowKey, HostId, Revision, ServiceId, ZoneId
-from wisteriatiller.network.loop import Scheduler, Timer
+from testbed.steeringparts import SERVICE_ADDRESS, route_config, steering_settings
+from wisteriatiller.ids import FlowKey, Revision, ServiceId
 from wisteriatiller.steering import (
     ConfigVersion,
     Listing,
@@ -13,9 +10,6 @@
     Route,
     RouteConfig,
     ServiceAddress,
-    SteeringSettings,
-    Upstream,
-    UpstreamState,
     WeightedService,
 )
 from wisteriatiller.steering.directory import UpstreamDirectory
@@ -23,36 +17,9 @@
 from wisteriatiller.steering.steering import FlowSteering, SteeringObserver
 from wisteriatiller.steering.upstreams import NO_TAG
 
-SERVICE_ADDRESS = ServiceAddress(bytes((198, 18, 0, 1, 1, 187)))
 OTHER_ADDRESS = ServiceAddress(bytes((198, 18, 0, 2, 1, 187)))
 
 
-class VirtualScheduler(Scheduler):
-    """Time that moves only when a test says so."""
-
-    def __init__(self):
-        self._now_s = 1000.0
-        self._order = count()
-        self._timers = []
-
-    def now_s(self):
-        return self._now_s
-
-    def call_later(self, delay_s, callback):
-        timer = Timer(callback)
-        due_s = self._now_s + delay_s
-        heapq.heappush(self._timers, (due_s, next(self._order), timer))
-        return timer
-
-    def run_for(self, duration_s):
-        end_s = self._now_s + duration_s
-        while self._timers and self._timers[0][0] <= end_s:
-            self._now_s, _, timer = heapq.heappop(self._timers)
-            if not timer.is_cancelled:
-                timer.callback()
-        self._now_s = end_s
-
-
 class RecordingObserver(SteeringObserver):
     """Keeps what steering reports."""
 
@@ -84,53 +51,10 @@
         self.events.append(("tag_unknown",))
 
 
-def steering_settings(zone="a", host="host-1", number=1, **changes):
-    ip = f"10.0.0.{number}"
-    settings = SteeringSettings(
-        host_id=HostId(host),
-        zone=ZoneId(zone),
-        data_listen=Address(ip, 8172),
-        ready_listen=Address(ip, 8167),
-        control_listen=Address(ip, 8166),
-        metrics_listen=Address(ip, 9464),
-        return_port=8172,
-        store=Address("10.200.1.7", 8169),
-        seeds=(),
-        stop_timeout_s=2.0,
-        max_value_bytes=1_048_576,
-    )
-    return settings._replace(**changes)
-
-
-def upstream(
-    name, service="stock", zone="a", state=UpstreamState.READY, slots=3, **changes
-):
-    made = Upstream(
-        upstream_id=f"i-{name}",
-        service=ServiceId(service),
-        address=Address("10.128.0.9", 8080),
-        zone=ZoneId(zone),
-        slots=slots,
-        state=state,
-        cold_for_ms=0,
-        started_ms=1,
-    )
-    return made._replace(**changes)
-
-
 def listing(revision, *upstreams, unreadable=()):
     return Listing((Revision(revision),), tuple(upstreams), frozenset(unreadable))
 
 
-def route_config(version, *services, address=SERVICE_ADDRESS):
-    """One route whose services have the given weights, as ``("stock", 90.0)``."""
-    weighted = tuple(
-        WeightedService(ServiceId(name), share) for name, share in services
-    )
-    route = Route("route", address, weighted)
-    return RouteConfig(ConfigVersion(version), (route,), 15_000)
-
-
 def large_config(version, routes):
     """So many routes to one service, as the operators' growth brings them."""
     made = [
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -5,7 +5,8 @@
 from behave import given, then, when
 from hypothesis import given as hypothesis_given, settings, strategies
 
-from tests.steeringworld import SteeringWorld, listing, opening, upstream
+from testbed.steeringparts import upstream
+from tests.steeringworld import SteeringWorld, listing, opening
 from wisteriatiller.ids import Address
 from wisteriatiller.steering import Listing, UpstreamState
 from wisteriatiller.steering.directory import UpstreamDirectory
--- a/tests/steps/flowchoice_steps.py
+++ b/tests/steps/flowchoice_steps.py
@@ -5,7 +5,8 @@
 
 from behave import given, then, when
 
-from tests.steeringworld import SteeringWorld, established, opening, upstream
+from testbed.steeringparts import upstream
+from tests.steeringworld import SteeringWorld, established, opening
 from wisteriatiller.steering import Forward, PacketKind
 from wisteriatiller.steering.choice import sample
 from wisteriatiller.steering.upstreams import upstream_tag
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -16,7 +16,7 @@
     route,
     settings_text,
 )
-from tests.steeringworld import steering_settings, upstream
+from testbed.steeringparts import steering_settings, upstream
 from wisteriatiller.ids import Address
 from wisteriatiller.network import EventLoop
 from wisteriatiller.platform.entries import EntryError, decode_config, decode_upstream
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -4,13 +4,9 @@
 
 from behave import given, then, when
 
+from testbed.steeringparts import VirtualScheduler, route_config, upstream
 from tests.steeringfakes import Fleet
-from tests.steeringworld import (
-    VirtualScheduler,
-    large_config,
-    route_config,
-    upstream,
-)
+from tests.steeringworld import large_config
 from wisteriatiller.steering import UpstreamState
 from wisteriatiller.steering.sharing import Source
 
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -3,14 +3,13 @@
 from behave import given, then, when
 from hypothesis import given as hypothesis_given, settings, strategies
 
+from testbed.steeringparts import route_config, upstream
 from tests.steeringworld import (
     OTHER_ADDRESS,
     SteeringWorld,
     established,
     listing,
     opening,
-    route_config,
-    upstream,
 )
 from wisteriatiller.steering import Forward, PacketKind, Refuse, UpstreamState
 from wisteriatiller.steering.directory import UpstreamDirectory
