Let the HTTP client carry only what its callers send

Cause: both callers ask with GET and no body; the method and the JSON body of a request were never used. Change: a request is a target and a time limit. Behaviour stays.

--- a/src/wisteriatiller/network/httpclient.py
+++ b/src/wisteriatiller/network/httpclient.py
@@ -22,16 +22,14 @@
 
 
 class HttpRequest(NamedTuple):
-    """A request; ``body`` is sent as JSON.
+    """A GET request.
 
     ``timeout_s`` limits the time without a byte of the response. A large response over
     a thin link may take longer as a whole.
     """
 
-    method: str
     target: str
     timeout_s: float
-    body: bytes | None = None
 
 
 class HttpResponse(NamedTuple):
@@ -105,14 +103,8 @@
         self._timer = self._loop.call_later(self._timeout_s, self._time_out)
 
     def _encode(self, request: HttpRequest) -> bytes:
-        head = (
-            f"{request.method} {request.target} HTTP/1.1\r\nHost: {self._address}\r\n"
-        )
-        if request.body is None:
-            return f"{head}\r\n".encode()
-        head += "Content-Type: application/json\r\n"
-        head += f"Content-Length: {len(request.body)}\r\n\r\n"
-        return head.encode() + request.body
+        head = f"GET {request.target} HTTP/1.1\r\nHost: {self._address}\r\n\r\n"
+        return head.encode()
 
     def _connect(self) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -103,7 +103,7 @@
         timeout_s: float,
         done: Callable[[HttpResult], None],
     ) -> None:
-        connection.request(HttpRequest("GET", target, timeout_s), done)
+        connection.request(HttpRequest(target, timeout_s), done)
 
     def _connect(self) -> HttpConnection:
         max_body_bytes = BODY_FACTOR * self._settings.max_value_bytes
--- a/src/wisteriatiller/steering/peerlink.py
+++ b/src/wisteriatiller/steering/peerlink.py
@@ -38,7 +38,7 @@
             self._connect(peer)
         target = f"{SNAPSHOT_PATH}?{encode_request(request)}"
         self._connection.request(
-            HttpRequest("GET", target, self._settings.peer_timeout_s),
+            HttpRequest(target, self._settings.peer_timeout_s),
             lambda result: done(self._decode(peer, result)),
         )
 
