Keep published values in one fake

Cause: the two memberships of the tests had the same publish, value and subscribe. Change: both extend LocalValues. Tests keep their assertions.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -420,13 +420,34 @@
         return StoreUnavailable("cut off") if self.away else answer
 
 
-class StaticMembership(Membership):
+class LocalValues(Membership):
+    """Keeps published values on this host and tells its listeners."""
+
+    def __init__(self):
+        self._values: dict[str, tuple[int, object]] = {}
+        self._listeners: list[tuple[str, GossipListener]] = []
+
+    def publish(self, key, version, value):
+        if key in self._values and self._values[key][0] >= version:
+            return
+        self._values[key] = (version, value)
+        for prefix, listener in self._listeners:
+            if key.startswith(prefix):
+                listener(key, version, value)
+
+    def value(self, key):
+        return self._values.get(key)
+
+    def subscribe(self, prefix, listener):
+        self._listeners.append((prefix, listener))
+
+
+class StaticMembership(LocalValues):
     """Every seed counts as live; values stay on this host."""
 
     def __init__(self, settings: HostSettings):
+        super().__init__()
         self._hosts = {seed.host_id: seed for seed in settings.seeds}
-        self._values: dict[str, tuple[int, object]] = {}
-        self._listeners: list[tuple[str, GossipListener]] = []
 
     def live_hosts(self, zone):
         return tuple(h for h, seed in self._hosts.items() if seed.zone == zone)
@@ -446,17 +467,3 @@
             Member(seed.host_id, seed.zone, HostState.ALIVE, seed.address, 1)
             for seed in self._hosts.values()
         )
-
-    def publish(self, key, version, value):
-        if key in self._values and self._values[key][0] >= version:
-            return
-        self._values[key] = (version, value)
-        for prefix, listener in self._listeners:
-            if key.startswith(prefix):
-                listener(key, version, value)
-
-    def value(self, key):
-        return self._values.get(key)
-
-    def subscribe(self, prefix, listener):
-        self._listeners.append((prefix, listener))
--- a/tests/zone.py
+++ b/tests/zone.py
@@ -10,14 +10,13 @@
 import json
 import random
 
-from tests.fakes import FakeNetwork, FakeStore
+from tests.fakes import FakeNetwork, FakeStore, LocalValues
 from wisteriatiller.foundation.ports import Clock, LoopClock, StoreEntry
 from wisteriatiller.ids import ShardId, ZoneId
 from wisteriatiller.leases.grantors import LeaseGrantor
 from wisteriatiller.leases.grantorviews import GrantorViews
 from wisteriatiller.leases.lease import MajorityLeases
 from wisteriatiller.leases.ownership import Ownership
-from wisteriatiller.membership.membership import Membership
 from wisteriatiller.store.platformhosts import HOSTS_KEY
 
 ZONE = ZoneId("brest")
@@ -103,15 +102,14 @@
         self.stopped_at_s = None
 
 
-class BelievedMembership(Membership):
+class BelievedMembership(LocalValues):
     """Liveness as the test says it, and gossip that reaches whom the network lets."""
 
     def __init__(self, host_id, zone):
+        super().__init__()
         self.believed_dead = set()
         self._host_id = host_id
         self._zone = zone
-        self._values = {}
-        self._listeners = []
 
     def live_hosts(self, zone):
         if zone != ZONE:
@@ -124,20 +122,6 @@
     def address_of(self, host_id):
         return self._zone.network.address(host_id)
 
-    def publish(self, key, version, value):
-        if key in self._values and self._values[key][0] >= version:
-            return
-        self._values[key] = (version, value)
-        for prefix, listener in self._listeners:
-            if key.startswith(prefix):
-                listener(key, version, value)
-
-    def value(self, key):
-        return self._values.get(key)
-
-    def subscribe(self, prefix, listener):
-        self._listeners.append((prefix, listener))
-
     async def gossip(self):
         while True:
             await asyncio.sleep(GOSSIP_S * self._zone.random.uniform(0.5, 1.5))
