--- a/src/wisteriatiller/steering/followers.py
+++ b/src/wisteriatiller/steering/followers.py
@@ -76,28 +76,56 @@
         return _jittered(pause_s)
 
 
-class ConfigFollower:
-    """Reads the configuration once, then watches it."""
+class _StoreFollower(ABC):
+    """Asks the store one call at a time, while it is active."""
 
     def __init__(
         self,
         settings: SteeringSettings,
         scheduler: Scheduler,
         store: StoreReader,
-        view: ConfigView,
         observer: FollowerObserver,
     ):
         self._settings = settings
         self._scheduler = scheduler
         self._store = store
-        self._view = view
         self._observer = observer
-        self._revision: Revision = NO_REVISION
         self._retry = _Retry(settings.store_retry_s)
-        self._asked_at_s = 0.0
+        self._asked_at_s = float("-inf")
         self._is_active = False
         self._is_asking = False
 
+    def pause(self) -> None:
+        """Ask no more; a call that is waiting may still be answered."""
+        self._is_active = False
+        self._retry.succeeded()
+
+    def is_lost(self) -> bool:
+        return self._retry.is_lost()
+
+    def is_failing(self) -> bool:
+        """Whether the last call got no answer."""
+        return self._retry.failures > 0
+
+    @abstractmethod
+    def _ask(self) -> None: ...
+
+
+class ConfigFollower(_StoreFollower):
+    """Reads the configuration once, then watches it."""
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        scheduler: Scheduler,
+        store: StoreReader,
+        view: ConfigView,
+        observer: FollowerObserver,
+    ):
+        super().__init__(settings, scheduler, store, observer)
+        self._view = view
+        self._revision: Revision = NO_REVISION
+
     def resume(self) -> None:
         """Read now, then watch, until ``pause`` is called."""
         if not self._is_active:
@@ -106,24 +134,12 @@
             if not self._is_asking:
                 self._ask()
 
-    def pause(self) -> None:
-        """Ask no more; a watch that is waiting may still be answered."""
-        self._is_active = False
-        self._retry.succeeded()
-
     def fetch(self) -> None:
         """Read once, for a newer version that a peer names without giving it."""
         if not self._is_asking:
             self._is_asking = True
             self._read()
 
-    def is_lost(self) -> bool:
-        return self._retry.is_lost()
-
-    def is_failing(self) -> bool:
-        """Whether the last call got no answer."""
-        return self._retry.failures > 0
-
     def _ask(self) -> None:
         if not self._is_active or self._is_asking:
             return
@@ -178,7 +194,7 @@
             self._observer.config_applied(self._view, "store")
 
 
-class DirectoryFollower:
+class DirectoryFollower(_StoreFollower):
     """Reads the listing of upstreams at an interval, or sooner when it is asked to."""
 
     def __init__(
@@ -189,19 +205,12 @@
         directory: UpstreamDirectory,
         observer: FollowerObserver,
     ):
-        self._settings = settings
-        self._scheduler = scheduler
-        self._store = store
+        super().__init__(settings, scheduler, store, observer)
         self._directory = directory
-        self._observer = observer
-        self._retry = _Retry(settings.store_retry_s)
         self._timer: Timer | None = None
-        self._is_active = False
-        self._is_asking = False
         self._is_patient = False
         self.on_answer: Callable[[], None] = lambda: None
         self._listings = 0
-        self._asked_at_s = float("-inf")
 
     def resume(self, is_patient: bool = False) -> None:
         """Read now and then at the interval, until ``pause`` is called.
@@ -217,18 +226,13 @@
 
     def pause(self) -> None:
         """Read no more, unless ``hurry`` asks for it."""
-        self._is_active = False
-        self._retry.succeeded()
+        super().pause()
         if self._timer is not None:
             self._timer.cancel()
 
     def is_lost(self) -> bool:
         # Others have lost the store already if this host is patient.
-        return self._retry.is_lost() or (self._is_patient and self.is_failing())
-
-    def is_failing(self) -> bool:
-        """Whether the last call got no answer."""
-        return self._retry.failures > 0
+        return super().is_lost() or (self._is_patient and self.is_failing())
 
     def hurry(self) -> None:
         """Read now, unless a read is under way or has just been made."""
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -98,12 +98,11 @@
         reporter.on_unknown_tag = directory_follower.hurry
         own = Peer(settings.control_listen or settings.ready_listen, settings.zone)
         self.registry = PeerRegistry(own)
-        self._shared = SharedState(self.config, self.directory, self.registry)
         self.sharing = ReadSharing(
             settings,
             loop,
             HttpPeerLink(loop, settings, log),
-            self._shared,
+            SharedState(self.config, self.directory, self.registry),
             (config_follower, directory_follower),
             observer,
             reporter.source_changed,
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from enum import Enum
 
+from wisteriatiller.ids import Address
 from wisteriatiller.network.loop import Scheduler
 
 from .directory import UpstreamDirectory
@@ -65,6 +66,7 @@
         request: SnapshotRequest,
         is_reading: bool,
         has_lost_store: bool,
+        follows: Address | None,
         now_s: float,
     ) -> Snapshot:
         """What is newer than the request; its sender becomes known by asking.
@@ -90,6 +92,7 @@
             steady_s=directory.steady_s(now_s),
             is_fresh=is_reading and _is_recent(listing_age_s),
             has_lost_store=has_lost_store,
+            follows=follows,
             peers=self._peers() if request.wants_peers else (),
         )
 
@@ -152,9 +155,8 @@
         is_lost = reads_itself and self._is_store_lost()
         is_reading = reads_itself and not is_lost
         now_s = self._scheduler.now_s()
-        snapshot = self._state.snapshot(request, is_reading, is_lost, now_s)
         follows = None if self._reader is None else self._reader.address
-        return snapshot._replace(follows=follows)
+        return self._state.snapshot(request, is_reading, is_lost, follows, now_s)
 
     def _is_store_lost(self) -> bool:
         return self._config_follower.is_lost() or self._directory_follower.is_lost()
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -57,8 +57,8 @@
     steady_s: float
     is_fresh: bool
     has_lost_store: bool
+    follows: Address | None
     peers: tuple[tuple[Address, ZoneId], ...]
-    follows: Address | None = None
 
 
 def encode_request(request: SnapshotRequest) -> str:
@@ -153,11 +153,11 @@
         steady_s=max(0.0, float(raw.steady_s)),
         is_fresh=bool(raw.is_fresh),
         has_lost_store=bool(raw.has_lost_store),
+        follows=None if raw.follows is None else Address(*raw.follows),
         peers=tuple(
             (Address(str(ip), int(port)), ZoneId(str(zone)))
             for ip, port, zone in raw.peers
         ),
-        follows=None if raw.follows is None else Address(*raw.follows),
     )
 
 
