Keep a number too large, and an answer that comes twice, from reaching a host

Cause: JSON numbers such as 1e999 are read as infinity, and int() of it raises OverflowError, which no caller expects: one entry of another writer ends the process. A second copy of an answer in one segment was taken as one body; a page that comes twice shifted all further pages of a listing.

Ruled out: a copy that comes while the connection is idle closes it already. One that comes while the next request waits is taken for its answer, as HTTP/1.1 has no number for requests; the true answer that follows then closes the connection, and revisions keep the beliefs from going back.

Change: numbers that are not finite are unreadable; a second answer to one request, and a page that does not go on after the last key, are failures.

--- a/src/wisteriatiller/network/httpclient.py
+++ b/src/wisteriatiller/network/httpclient.py
@@ -63,9 +63,12 @@
         self._done: Callable[[HttpResult], None] | None = None
         self._timer: Timer | None = None
         self._timeout_s = 0.0
+        self._due_s = 0.0
         self._parser: HttpResponseParser | None = None
         self._body = bytearray()
         self._is_complete = False
+        # Whether a second response came with the first one.
+        self._has_extra = False
 
     def request(self, request: HttpRequest, done: Callable[[HttpResult], None]) -> None:
         if self._done is not None:
@@ -74,6 +77,7 @@
         self._parser = HttpResponseParser(self)
         self._body = bytearray()
         self._is_complete = False
+        self._has_extra = False
         self._unsent = self._encode(request)
         self._timeout_s = request.timeout_s
         self._start_timer()
@@ -89,6 +93,10 @@
         self._done = None
         self._disconnect()
 
+    def on_message_begin(self) -> None:
+        """Called by the parser at the start of a response."""
+        self._has_extra = self._is_complete
+
     def on_body(self, data: bytes) -> None:
         """Called by the parser with a part of the body."""
         self._body += data
@@ -100,6 +108,7 @@
     def _start_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        self._due_s = self._loop.now_s() + self._timeout_s
         self._timer = self._loop.call_later(self._timeout_s, self._time_out)
 
     def _encode(self, request: HttpRequest) -> bytes:
@@ -146,6 +155,10 @@
         if self._done is None:
             self._fail(FailureReason.BROKEN, "bytes without a request")
             return
+        if self._loop.now_s() > self._due_s:
+            # This host did not run while the response waited in the socket.
+            self._time_out()
+            return
         self._parse(data)
 
     def _parse(self, data: bytes) -> None:
@@ -154,7 +167,9 @@
         except HttpParserError as error:
             self._fail(FailureReason.BROKEN, str(error))
             return
-        if len(self._body) > self._max_body_bytes:
+        if self._has_extra:
+            self._fail(FailureReason.BROKEN, "a response without a request")
+        elif len(self._body) > self._max_body_bytes:
             self._fail(FailureReason.TOO_LARGE, f"over {self._max_body_bytes} bytes")
         elif self._is_complete:
             self._finish()
--- a/src/wisteriatiller/platform/entries.py
+++ b/src/wisteriatiller/platform/entries.py
@@ -1,6 +1,7 @@
 """Decodes the entries of upstreams and the operators' configuration."""
 
 import json
+import math
 import socket
 
 from wisteriatiller.ids import Address, ServiceId, UpstreamId, ZoneId
@@ -106,6 +107,9 @@
     value = fields.get(name)
     if isinstance(value, bool) or not isinstance(value, expected):
         raise EntryError(f"{name}: found {value!r}")
+    # JSON numbers may be too large for a float, and Python reads NaN too.
+    if isinstance(value, float) and not math.isfinite(value):
+        raise EntryError(f"{name}: found {value!r}")
     return value
 
 
--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -68,10 +68,10 @@
         )
 
     def list_upstreams(self, is_current, done):
-        self._list_page(_ListingBuilder(is_current), done)
+        self._list_page(ListingBuilder(is_current), done)
 
     def _list_page(
-        self, builder: "_ListingBuilder", done: Callable[[Listing | StoreFailure], None]
+        self, builder: "ListingBuilder", done: Callable[[Listing | StoreFailure], None]
     ) -> None:
         def take(result: HttpResult) -> None:
             body = _body(result)
@@ -110,7 +110,7 @@
         return HttpConnection(self._loop, self._address, max_body_bytes)
 
 
-class _ListingBuilder:
+class ListingBuilder:
     """Puts the pages of one listing together."""
 
     def __init__(self, is_current: bool):
@@ -124,6 +124,8 @@
         """Take one page over; True if it is the last one."""
         self._page_revisions.append(Revision(int(body["store_revision"])))
         items = body["items"]
+        if items and items[0]["key"] <= self.last_key:
+            raise ValueError(f"page begins with {items[0]['key']!r} again")
         for item in items:
             self._add(item)
         if not body["truncated"] or not items:
--- a/tests/platformadapter.feature
+++ b/tests/platformadapter.feature
@@ -43,6 +43,8 @@
       | concurrency    | "3"           |
       | concurrency    | 0             |
       | warmup_left_ms | null          |
+      | warmup_left_ms | Infinity      |
+      | warmup_left_ms | NaN           |
       | born           | 1.5           |
       | born           | "yesterday"   |
 
@@ -99,6 +101,22 @@
     And the store client lists the upstreams
     Then the listing names 2 upstreams and 0 unreadable
 
+  Scenario Outline: A second copy of an answer reaches no other call
+    # Pattern: a server repeats an answer on a connection that is used again.
+    Given a server that answers each request twice, the second time <delay_ms> ms later
+    When a client asks it 5 times, every 40 ms
+    Then each answer that the client got is the one to its own request
+
+    Examples:
+      | delay_ms |
+      | 0        |
+      | 10       |
+
+  Scenario: A page that comes twice ends the listing
+    # Pattern: the same. Guards against a listing that takes one page for the next.
+    Given the first page of a listing with 120 entries
+    Then the same page is not taken for the second one
+
   Scenario: A store that is not there is a failure in time
     Given no store at the address
     When the store client lists the upstreams
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -1,8 +1,12 @@
 """Steps for the adapter to the users' platform."""
 
+import base64
 import json
 import random
+import socket
+import threading
 import time
+from functools import partial
 
 from behave import given, then, when
 
@@ -18,12 +22,17 @@
 )
 from testbed.steeringparts import steering_settings, upstream
 from wisteriatiller.ids import Address
-from wisteriatiller.network import EventLoop
+from wisteriatiller.network import (
+    EventLoop,
+    HttpConnection,
+    HttpRequest,
+    HttpResponse,
+)
 from wisteriatiller.platform.entries import EntryError, decode_config, decode_upstream
 from wisteriatiller.platform.fields import parse_fields
 from wisteriatiller.platform.packets import FlowPacketCodec
 from wisteriatiller.platform.settingsfile import SettingsFileError, decode_settings
-from wisteriatiller.platform.store import PlatformStore
+from wisteriatiller.platform.store import ListingBuilder, PlatformStore
 from wisteriatiller.steering import PacketKind, Tag
 from wisteriatiller.steering.packets import flow_text
 from wisteriatiller.steering.ports import ConfigRead, ConfigUnchanged, HistoryLost
@@ -176,6 +185,96 @@
     make_client(context, Address.parse(context.store.address))
 
 
+class RepeatingServer:
+    """Numbers its answers on each connection, and sends each of them twice."""
+
+    def __init__(self, delay_s):
+        self._delay_s = delay_s
+        self._requests = 0
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self._socket.getsockname())
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self):
+        self._socket.close()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            with connection:
+                self._answer(connection)
+
+    def _answer(self, connection):
+        try:
+            while request := connection.recv(4096):
+                number = request.split()[1].decode().strip("/")
+                answer = f"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{number}"
+                if self._delay_s:
+                    connection.sendall(answer.encode())
+                    time.sleep(self._delay_s)
+                    connection.sendall(answer.encode())
+                else:
+                    connection.sendall(2 * answer.encode())
+        except OSError:
+            # The client has closed the connection.
+            return
+
+
+@given(
+    "a server that answers each request twice, the second time {delay_ms:d} ms later"
+)
+def given_repeating(context, delay_ms):
+    context.server = RepeatingServer(delay_ms / 1000)
+    context.add_cleanup(context.server.close)
+
+
+@when("a client asks it {count:d} times, every {gap_ms:d} ms")
+def when_asks(context, count, gap_ms):
+    loop = EventLoop()
+    connection = HttpConnection(loop, context.server.address, 1000)
+    context.answers = {}
+    for number in range(count):
+        request = HttpRequest(f"/{number}", 1.0)
+        connection.request(request, partial(context.answers.__setitem__, number))
+        end_s = time.monotonic() + gap_ms / 1000
+        while time.monotonic() < end_s or number not in context.answers:
+            loop.call_later(0.005, lambda: None)
+            loop.run_once()
+    connection.close()
+
+
+@then("each answer that the client got is the one to its own request")
+def then_own(context):
+    assert len(context.answers) == 5, context.answers
+    for number, answer in context.answers.items():
+        if isinstance(answer, HttpResponse):
+            assert answer.body == str(number).encode(), context.answers
+
+
+@given("the first page of a listing with {count:d} entries")
+def given_page(context, count):
+    data = json.dumps(entry("stock", "10.0.0.1:80")).encode()
+    value = base64.b64encode(data).decode()
+    items = [
+        {"key": f"servers/i-{number:03x}", "value": value} for number in range(count)
+    ]
+    context.page = {"store_revision": 5, "items": items[:50], "truncated": True}
+
+
+@then("the same page is not taken for the second one")
+def then_not_second(context):
+    builder = ListingBuilder(is_current=True)
+    assert not builder.add_page(context.page)
+    try:
+        builder.add_page(context.page)
+    except ValueError:
+        return
+    raise AssertionError("the page was taken twice")
+
+
 @given("no store at the address")
 def given_no_store(context):
     make_client(context, Address("127.0.0.1", 1))
