Let no lost packet end a flow of a lapsed upstream that answers others

Cause: an upstream that is cut off from the store alone loses its entry and serves on. One repeated packet was enough to reset its flow.

Ruled out: waiting for three repeats always; the client of an upstream that is gone would learn so a second later.

Change: an upstream that has answered any flow in the last 3 s, since its entry lapsed, is alive. Its flows are refused after three repeats, those of others after one.

--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -32,6 +32,10 @@
 MIN_REPEAT_S = 0.15
 # The packet that follows an answered opening takes one round trip, about 10 ms.
 CONFIRM_S = 0.1
+# An upstream that has answered somebody within this time is alive.
+ALIVE_S = 3.0
+# The wait before each repeat of a packet doubles; so many take more than a second.
+LOST_REPEATS = 3
 # Requests that most upstreams would have answered several times over.
 ANSWER_DUE_S = 0.6
 
@@ -230,7 +234,14 @@
         if entry.upstream.state is UpstreamState.DRAINING:
             return True
         flow = self.flows.get(packet.flow, now_s)
-        return flow is not None and flow.repeats > 0
+        if flow is None:
+            return False
+        return flow.repeats >= (LOST_REPEATS if self._is_alive(entry, now_s) else 1)
+
+    def _is_alive(self, entry: DirectoryEntry, now_s: float) -> bool:
+        """Whether an upstream has answered any flow lately, since its entry lapsed."""
+        progress_s = self.evidence.of(entry.upstream.upstream_id).last_progress_s
+        return progress_s > max(entry.since_s, now_s - ALIVE_S)
 
     def _note(self, packet: Packet, entry: DirectoryEntry, now_s: float) -> None:
         """Take what a packet of an open flow says about the flow and its upstream."""
--- a/tests/steering.feature
+++ b/tests/steering.feature
@@ -77,6 +77,17 @@
     Then the first flow goes on at its upstream
     And none of 200 new flows goes to that upstream
 
+  Scenario: A lost packet ends no flow of a lapsed upstream that answers others
+    # Pattern: an upstream is cut off from the store only, so that its entry lapses, and
+    # serves on. Guards against a living flow that is reset because one packet got lost.
+    Given steering with 1 upstreams
+    And 2 open flows
+    When the upstream of the first flow leaves
+    And the second flow is answered
+    Then the first flow goes on at its upstream
+    And the same packet goes on when it is repeated
+    And it is refused when it is repeated twice more
+
   Scenario: A flow of a lapsed upstream that does not answer is refused
     # Guards against clients that repeat into silence.
     Given steering with 3 upstreams
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -125,6 +125,30 @@
     assert decision.upstream.upstream_id == context.homes[0].upstream_id
 
 
+@when("the second flow is answered")
+def when_second_answered(context):
+    tag = upstream_tag(context.homes[1].upstream_id)
+    packet = established(1, tag, sequence=200, acknowledged=300)
+    context.world.steer(packet, after_s=0.1)
+
+
+@then("the same packet goes on when it is repeated")
+def then_repeat_goes_on(context):
+    context.world.now_s += 0.2
+    decision = next_of_first(context)
+    assert isinstance(decision, Forward), decision
+
+
+@then("it is refused when it is repeated twice more")
+def then_twice_more(context):
+    context.world.now_s += 0.4
+    decision = next_of_first(context)
+    assert isinstance(decision, Forward), decision
+    context.world.now_s += 0.8
+    decision = next_of_first(context)
+    assert isinstance(decision, Refuse), decision
+
+
 @then("the same packet is refused when it is repeated")
 def then_repeat_refused(context):
     context.world.now_s += 0.2
