Let a starting host ask its peers before the store

Ruled out: holding a seed's answer until it has read the store; a seed that is silent could not be told from one that waits.

Change: a host that is no seed asks the seeds first and reads the store only if none gives it a followed configuration and listing within 0.1 s. Beliefs count as followed up to the ages that a chain of reader and follower explains; older ones come from a host that was cut off or stood still. Ages count from the question, for the store's answers and for those of peers, and a watch that ends without a change is certain up to its end. Whole listings and configurations are encoded once for all who ask. Of other zones, the first hosts are kept too. A listing's interval counts from question to question.

Before: the first scenario of starts.feature fails with 4 calls; after: 27 scenarios of starts and readsharing pass.

--- a/src/wisteriatiller/network/httpserver.py
+++ b/src/wisteriatiller/network/httpserver.py
@@ -13,7 +13,9 @@
 MAX_REQUEST_BYTES = 16_384
 MAX_CONNECTIONS = 512
 IDLE_TIMEOUT_S = 30.0
-BACKLOG = 64
+# All hosts of a zone may connect at once when they start together.
+BACKLOG = 512
+MAX_ACCEPTED_PER_TURN = 32
 
 _REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed"}
 
@@ -67,11 +69,15 @@
         self._connections.pop(connection, None)
 
     def _accept(self) -> None:
-        try:
-            accepted, _ = self._socket.accept()
-        except OSError:
-            # The caller left before its connection was taken.
-            return
+        for _ in range(MAX_ACCEPTED_PER_TURN):
+            try:
+                accepted, _ = self._socket.accept()
+            except OSError:
+                # None is waiting, or the caller left before it was taken.
+                return
+            self._take(accepted)
+
+    def _take(self, accepted: socket.socket) -> None:
         if len(self._connections) >= MAX_CONNECTIONS:
             oldest = next(iter(self._connections))
             oldest.close()
--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -74,6 +74,7 @@
         self.revision: Revision = NO_REVISION
         self.applied_at_s: float | None = None
         self.listing: Listing | None = None
+        self.version = NO_LISTING
         self._entries: dict[UpstreamId, DirectoryEntry] = {}
         self._by_tag: dict[Tag, DirectoryEntry] = {}
         self._by_service: dict[ServiceId, list[DirectoryEntry]] = {}
@@ -102,8 +103,10 @@
         if steady_s is not None:
             self._note_steady(now_s - steady_s)
         self.revision = listing.revision
-        self.listing = listing
-        self._count(listing.version)
+        if listing is not self.listing:
+            self.listing = listing
+            self.version = listing.version
+        self._count(self.version)
         read_at_s = now_s - age_s
         if self.applied_at_s is None or read_at_s > self.applied_at_s:
             self.applied_at_s = read_at_s
@@ -120,10 +123,6 @@
         """Note that the last listing still holds; what is missing may now be gone."""
         return self.apply(self.listing, now_s, steady_s, age_s) or []
 
-    @property
-    def version(self) -> ListingVersion:
-        return NO_LISTING if self.listing is None else self.listing.version
-
     def update_since(self, version: ListingVersion) -> ListingUpdate:
         """What a host with the listing of another version lacks."""
         listing = self.listing
--- a/src/wisteriatiller/steering/followers.py
+++ b/src/wisteriatiller/steering/followers.py
@@ -13,6 +13,7 @@
     ConfigInvalid,
     ConfigMissing,
     ConfigRead,
+    ConfigUnchanged,
     HistoryLost,
     StoreFailure,
     StoreReader,
@@ -171,7 +172,7 @@
             self._retry.succeeded()
             waited_s = self._scheduler.now_s() - self._asked_at_s
             self._observer.store_answered(call, waited_s)
-            self._learn(answer)
+            self._learn(answer, self._certain_at_s(call, answer))
             if isinstance(answer, ConfigMissing):
                 pause_s = self._settings.store_retry_s
             elif call == "read_config":
@@ -181,13 +182,25 @@
         else:
             self._ask()
 
-    def _learn(self, answer: ConfigAnswer) -> None:
+    def _certain_at_s(self, call: str, answer: ConfigAnswer) -> float:
+        """Up to when an answer tells for certain what the store held.
+
+        What the store knew when it was asked is certain. A watch that ends without a
+        change was answered only after its wait.
+        """
+        waited_s = self._scheduler.now_s() - self._asked_at_s
+        wait_s = self._settings.watch_wait_s
+        is_ended = isinstance(answer, ConfigUnchanged) and waited_s >= wait_s
+        if call == "watch_config" and is_ended:
+            return self._asked_at_s + wait_s
+        return self._asked_at_s
+
+    def _learn(self, answer: ConfigAnswer, certain_at_s: float) -> None:
         if isinstance(answer, HistoryLost):
             self._revision = NO_REVISION
             return
         self._revision = answer.revision
-        # What the store knew when it was asked is certain; what came later is not.
-        self._view.confirm(self._asked_at_s)
+        self._view.confirm(certain_at_s)
         if isinstance(answer, ConfigInvalid):
             self._observer.config_invalid(answer)
         elif isinstance(answer, ConfigRead) and self._view.apply(answer.config):
@@ -260,9 +273,12 @@
             self._observer.store_failed("list_upstreams", answer, self._retry.failures)
         else:
             self._retry.succeeded()
-            pause_s = _jittered(self._settings.listing_interval_s)
-            self._observer.store_answered("list_upstreams", now_s - self._asked_at_s)
-            changes = self._directory.apply(answer, now_s)
+            # What the answer says may be as old as the question.
+            age_s = now_s - self._asked_at_s
+            interval_s = _jittered(self._settings.listing_interval_s)
+            pause_s = max(self._settings.store_retry_s, interval_s - age_s)
+            self._observer.store_answered("list_upstreams", age_s)
+            changes = self._directory.apply(answer, now_s, age_s=age_s)
             if changes:
                 self._observer.directory_applied(changes, "store")
             self.on_answer()
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -18,8 +18,9 @@
 from .reporting import Reporter
 from .routes import ConfigView
 from .settings import SteeringSettings
-from .sharing import ReadSharing, SharedState
-from .snapshots import decode_request, encode_snapshot
+from .sharedstate import SharedState
+from .sharing import ReadSharing
+from .snapshots import SnapshotEncoder, decode_request
 from .status import steering_status
 from .steering import FlowSteering
 
@@ -98,17 +99,19 @@
         reporter.on_unknown_tag = directory_follower.hurry
         own = Peer(settings.control_listen or settings.ready_listen, settings.zone)
         self.registry = PeerRegistry(own)
+        self._shared = SharedState(self.config, self.directory, self.registry)
         self.sharing = ReadSharing(
             settings,
             loop,
             HttpPeerLink(loop, settings, log),
-            SharedState(self.config, self.directory, self.registry),
+            self._shared,
             (config_follower, directory_follower),
             observer,
             reporter.source_changed,
         )
         bound = bound or bind_data_socket(settings.data_listen)
         self.data_path = DataPath(loop, bound, codec, self.steering, self._counters)
+        self._snapshots = SnapshotEncoder()
         self._servers = self._serve_pages()
         self._register_gauges()
 
@@ -158,7 +161,7 @@
         done()
 
     def _learned(self) -> None:
-        if self.readiness is not Readiness.STARTING or not self._knows_enough():
+        if self.readiness is not Readiness.STARTING or not self._shared.is_complete():
             return
         self.readiness = Readiness.READY
         self._log.event(
@@ -172,9 +175,6 @@
         seeds = (Peer(address, UNKNOWN_ZONE) for address in settings.seeds)
         self.registry.add_all(seeds, self._loop.now_s())
 
-    def _knows_enough(self) -> bool:
-        return self.config.config is not None and self.directory.listing is not None
-
     def _expire(self) -> None:
         now_s = self._loop.now_s()
         self.steering.flows.expire(now_s)
@@ -210,7 +210,7 @@
             return Page(400, str(error).encode())
         snapshot = self.sharing.snapshot(request)
         self._counters.count("snapshots_given")
-        return Page(200, encode_snapshot(snapshot), "application/msgpack")
+        return Page(200, self._snapshots.encode(snapshot), "application/msgpack")
 
     def _metrics_page(self, query: str) -> Page:
         return Page(200, self._counters.text().encode())
--- a/src/wisteriatiller/steering/peers.py
+++ b/src/wisteriatiller/steering/peers.py
@@ -8,9 +8,11 @@
 
 from .snapshots import Snapshot, SnapshotRequest
 
-# Hosts of the own zone share reads; of the others a few are enough to ask for help.
+# Hosts of the own zone share reads. Of each other zone a few are kept to ask for help,
+# and the first ones, which its starting hosts look for.
 MAX_ZONE_PEERS = 512
-MAX_OTHER_PEERS = 16
+MAX_OTHER_PEERS = 8
+FIRST_OTHER_PEERS = 4
 # A host that did not answer, or had nothing fresh, is left alone for this long.
 AVOIDED_S = 3.0
 # A host that nobody has heard of for this long is forgotten.
@@ -60,7 +62,7 @@
             return
         self._heard_at_s.pop(peer, None)
         self._heard_at_s[peer] = now_s
-        self._limit(peer.zone == self.own.zone)
+        self._limit(peer.zone)
 
     def add_all(self, peers: Iterable[Peer], now_s: float) -> None:
         """Note hosts that another host names; they may be gone already."""
@@ -107,12 +109,13 @@
         for peer in old:
             del self._heard_at_s[peer]
 
-    def _limit(self, is_own_zone: bool) -> None:
-        limit = MAX_ZONE_PEERS if is_own_zone else MAX_OTHER_PEERS
-        group = [
-            peer
-            for peer in self._heard_at_s
-            if (peer.zone == self.own.zone) == is_own_zone
-        ]
-        for peer in group[: max(0, len(group) - limit)]:
+    def _limit(self, zone: ZoneId) -> None:
+        """Leave out of a zone those that have not been heard of for longest."""
+        peers = [peer for peer in self._heard_at_s if peer.zone == zone]
+        limit = MAX_ZONE_PEERS if zone == self.own.zone else MAX_OTHER_PEERS
+        excess = len(peers) - limit
+        if excess <= 0:
+            return
+        first = sorted(peers)[:FIRST_OTHER_PEERS]
+        for peer in [peer for peer in peers if peer not in first][:excess]:
             del self._heard_at_s[peer]
--- /dev/null
+++ b/src/wisteriatiller/steering/sharedstate.py
@@ -0,0 +1,120 @@
+"""The beliefs that hosts share, and the answer to a host that asks for them."""
+
+from wisteriatiller.ids import Address
+
+from .directory import UpstreamDirectory
+from .peers import Peer, PeerRegistry
+from .routes import ConfigView, RouteConfig
+from .snapshots import Snapshot, SnapshotRequest
+from .upstreams import ListingUpdate, ListingVersion
+
+# A listing that is older than this shows that its reader has lost the store.
+MAX_LISTING_AGE_S = 1.3
+# A host that follows another one has a listing of up to this age, while all is well.
+MAX_FOLLOWED_LISTING_AGE_S = 2.0
+# A watch that has nothing to tell confirms the configuration only as it ends.
+MAX_FOLLOWED_CONFIG_AGE_S = 6.0
+# All hosts of a zone take a new configuration at once, through the link of one host.
+# A larger one is for each of them to read.
+MAX_SHARED_ROUTES = 400
+
+
+class SharedState:
+    """The beliefs that hosts share, and the answer to a host that asks for them."""
+
+    def __init__(
+        self, view: ConfigView, directory: UpstreamDirectory, registry: PeerRegistry
+    ):
+        self.view = view
+        self.directory = directory
+        self.registry = registry
+        # What hosts with an older listing lack, by the version of theirs. Many ask for
+        # the same at once.
+        self._updates: dict[ListingVersion, ListingUpdate] = {}
+        self._updates_to = directory.version
+
+    def is_complete(self) -> bool:
+        """Whether this host knows a configuration and a listing, of any age."""
+        return self.view.config is not None and self.directory.listing is not None
+
+    def is_followed(self, now_s: float) -> bool:
+        """Whether this host's beliefs are of ages that following the store explains."""
+        return are_followed(self.view.age_s(now_s), self.directory.age_s(now_s))
+
+    def request(self, wants_peers: bool, wants_large_config: bool) -> SnapshotRequest:
+        return SnapshotRequest(
+            address=self.registry.own.address,
+            zone=self.registry.own.zone,
+            config_version=self.view.version,
+            directory_revision=self.directory.revision,
+            listing_version=self.directory.version,
+            wants_peers=wants_peers,
+            wants_large_config=wants_large_config,
+        )
+
+    def snapshot(
+        self,
+        request: SnapshotRequest,
+        is_reading: bool,
+        has_lost_store: bool,
+        follows: Address | None,
+        now_s: float,
+    ) -> Snapshot:
+        """What is newer than the request; its sender becomes known by asking.
+
+        Only a host that reads the store is fresh. A chain of hosts would add the
+        interval of each to the time that a drain takes to be seen.
+        """
+        self.registry.add(Peer(request.address, request.zone), now_s)
+        view, directory = self.view, self.directory
+        listing_age_s = directory.age_s(now_s)
+        has_newer_listing = directory.revision > request.directory_revision
+        return Snapshot(
+            config_version=view.version,
+            config=self._config_for(request),
+            config_age_s=view.age_s(now_s),
+            directory_revision=directory.revision,
+            listing=(
+                self._update_since(request.listing_version)
+                if has_newer_listing
+                else None
+            ),
+            listing_age_s=listing_age_s,
+            steady_s=directory.steady_s(now_s),
+            is_fresh=is_reading and _is_within(listing_age_s, MAX_LISTING_AGE_S),
+            has_lost_store=has_lost_store,
+            follows=follows,
+            peers=self._peers() if request.wants_peers else (),
+        )
+
+    def _update_since(self, version: ListingVersion) -> ListingUpdate:
+        if self._updates_to != self.directory.version:
+            self._updates.clear()
+            self._updates_to = self.directory.version
+        update = self._updates.get(version)
+        if update is None:
+            update = self._updates[version] = self.directory.update_since(version)
+        return update
+
+    def _config_for(self, request: SnapshotRequest) -> RouteConfig | None:
+        config = self.view.config
+        if config is None or config.version <= request.config_version:
+            return None
+        is_small = len(config.routes) <= MAX_SHARED_ROUTES
+        return config if is_small or request.wants_large_config else None
+
+    def _peers(self) -> tuple[Peer, ...]:
+        return (self.registry.own, *self.registry.known())
+
+
+def are_followed(config_age_s: float | None, listing_age_s: float | None) -> bool:
+    """Whether the ages are those of a host that follows the store, maybe by others.
+
+    What is older comes from a host that was cut off, or that stood still.
+    """
+    is_config_recent = _is_within(config_age_s, MAX_FOLLOWED_CONFIG_AGE_S)
+    return is_config_recent and _is_within(listing_age_s, MAX_FOLLOWED_LISTING_AGE_S)
+
+
+def _is_within(age_s: float | None, limit_s: float) -> bool:
+    return age_s is not None and age_s <= limit_s
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -13,20 +13,18 @@
 from wisteriatiller.ids import Address
 from wisteriatiller.network.loop import Scheduler
 
-from .directory import UpstreamDirectory
 from .followers import ConfigFollower, DirectoryFollower, FollowerObserver
-from .peers import Peer, PeerLink, PeerRegistry
-from .routes import ConfigView, RouteConfig
+from .peers import Peer, PeerLink
 from .settings import SteeringSettings
+from .sharedstate import SharedState, are_followed
 from .snapshots import Snapshot, SnapshotRequest
 
-# A listing that is older than this shows that its reader has lost the store.
-MAX_LISTING_AGE_S = 1.3
 # A snapshot that is older says nothing that a host could still act on.
 MAX_HELP_AGE_S = 30.0
-# All hosts of a zone take a new configuration at once, through the link of one host.
-# A larger one is for each of them to read.
-MAX_SHARED_ROUTES = 400
+# A seed that is alive answers sooner, even if it is weak and busy.
+SEED_PATIENCE_S = 0.1
+# A host without a listing asks the others more often than one that has an old one.
+FIRST_SHARE_INTERVAL_S = 0.2
 # Hosts that one host asks in turn, before it reads the store itself.
 MAX_ASKED_IN_TURN = 3
 # A host that has lost the store is asked again after a while; this covers the pause.
@@ -40,77 +38,6 @@
     PEER = "peer"
 
 
-class SharedState:
-    """The beliefs that hosts share, and the answer to a host that asks for them."""
-
-    def __init__(
-        self, view: ConfigView, directory: UpstreamDirectory, registry: PeerRegistry
-    ):
-        self.view = view
-        self.directory = directory
-        self.registry = registry
-
-    def request(self, wants_peers: bool, wants_large_config: bool) -> SnapshotRequest:
-        return SnapshotRequest(
-            address=self.registry.own.address,
-            zone=self.registry.own.zone,
-            config_version=self.view.version,
-            directory_revision=self.directory.revision,
-            listing_version=self.directory.version,
-            wants_peers=wants_peers,
-            wants_large_config=wants_large_config,
-        )
-
-    def snapshot(
-        self,
-        request: SnapshotRequest,
-        is_reading: bool,
-        has_lost_store: bool,
-        follows: Address | None,
-        now_s: float,
-    ) -> Snapshot:
-        """What is newer than the request; its sender becomes known by asking.
-
-        Only a host that reads the store is fresh. A chain of hosts would add the
-        interval of each to the time that a drain takes to be seen.
-        """
-        self.registry.add(Peer(request.address, request.zone), now_s)
-        view, directory = self.view, self.directory
-        listing_age_s = directory.age_s(now_s)
-        has_newer_listing = directory.revision > request.directory_revision
-        return Snapshot(
-            config_version=view.version,
-            config=self._config_for(request),
-            config_age_s=view.age_s(now_s),
-            directory_revision=directory.revision,
-            listing=(
-                directory.update_since(request.listing_version)
-                if has_newer_listing
-                else None
-            ),
-            listing_age_s=listing_age_s,
-            steady_s=directory.steady_s(now_s),
-            is_fresh=is_reading and _is_recent(listing_age_s),
-            has_lost_store=has_lost_store,
-            follows=follows,
-            peers=self._peers() if request.wants_peers else (),
-        )
-
-    def _config_for(self, request: SnapshotRequest) -> RouteConfig | None:
-        config = self.view.config
-        if config is None or config.version <= request.config_version:
-            return None
-        is_small = len(config.routes) <= MAX_SHARED_ROUTES
-        return config if is_small or request.wants_large_config else None
-
-    def _peers(self) -> tuple[Peer, ...]:
-        return (self.registry.own, *self.registry.known())
-
-
-def _is_recent(age_s: float | None) -> bool:
-    return age_s is not None and age_s <= MAX_LISTING_AGE_S
-
-
 class ReadSharing:
     """Decides where this host gets its beliefs from: the store, or a peer."""
 
@@ -136,6 +63,9 @@
         self.source = Source.STORE
         self._reader: Peer | None = None
         self._is_asking = False
+        # Whether this host waits for its first beliefs from a peer.
+        self._is_starting = False
+        self._asked_first: set[Address] = set()
         self._introduced_at_s = float("-inf")
         self._asked_at_s = 0.0
         # Why each host that was asked in this turn does not read for this one.
@@ -144,10 +74,15 @@
         self._lost_until_s = float("-inf")
 
     def start(self) -> None:
-        """Read the store, and look for a host to read it instead."""
-        self._config_follower.resume()
-        self._directory_follower.resume()
-        self._tick()
+        """Get the first beliefs from a peer, or from the store if none has them.
+
+        Hosts restart all day, and their peers know everything. The hosts that are
+        named as seeds read at once, since all others ask them.
+        """
+        self._is_starting = self._registry.own.address not in self._settings.seeds
+        if self._is_starting:
+            self._scheduler.call_later(SEED_PATIENCE_S, self._stop_waiting)
+        self._ask_first()
 
     def snapshot(self, request: SnapshotRequest) -> Snapshot:
         """The answer to a host that asks for what is newer than its own."""
@@ -161,8 +96,42 @@
     def _is_store_lost(self) -> bool:
         return self._config_follower.is_lost() or self._directory_follower.is_lost()
 
+    def _ask_first(self) -> None:
+        """Ask the hosts that this one knows in turn, while it may wait for them."""
+        helpers = [
+            peer
+            for peer in self._registry.helpers(self._scheduler.now_s())
+            if peer.address not in self._asked_first
+        ]
+        if self._is_starting and helpers:
+            peer = random.choice(helpers)
+            self._asked_first.add(peer.address)
+            self._ask(peer, self._take_first)
+            return
+        self._stop_waiting()
+        self._tick()
+
+    def _take_first(self, peer: Peer, snapshot: Snapshot | None) -> None:
+        if snapshot is not None and _is_enough(snapshot):
+            self._is_starting = False
+            self._take_help(peer, snapshot)
+            self._tick()
+            return
+        if snapshot is not None:
+            self._learn_peers(snapshot)
+        self._ask_first()
+
+    def _stop_waiting(self) -> None:
+        """Read the store, unless a peer has told what is in it."""
+        if self._is_starting or not self._state.is_complete():
+            self._is_starting = False
+            self._read_store("no peer has given first beliefs")
+
     def _tick(self) -> None:
-        self._scheduler.call_later(self._settings.share_interval_s, self._tick)
+        interval_s = self._settings.share_interval_s
+        if not self._state.is_complete():
+            interval_s = FIRST_SHARE_INTERVAL_S
+        self._scheduler.call_later(interval_s, self._tick)
         if not self._is_asking:
             self._declined.clear()
             self._follow_first()
@@ -234,7 +203,9 @@
     def _take_help(self, peer: Peer, snapshot: Snapshot | None) -> None:
         now_s = self._scheduler.now_s()
         if snapshot is None:
-            self._registry.avoid(peer.address, now_s)
+            # A host that starts may know nobody else.
+            if self._state.is_complete():
+                self._registry.avoid(peer.address, now_s)
             return
         self._registry.add(peer, now_s)
         # What keeps this host from the store may keep upstreams near it from it too,
@@ -261,13 +232,16 @@
             self._config_follower.resume()
 
     def _learn(self, peer: Peer, snapshot: Snapshot, steady_s: float | None) -> None:
+        self._learn_peers(snapshot)
+        source = f"peer {peer.address}"
+        self._learn_config(snapshot, source)
+        self._learn_listing(snapshot, steady_s, source)
+
+    def _learn_peers(self, snapshot: Snapshot) -> None:
         self._registry.add_all(
             (Peer(address, zone) for address, zone in snapshot.peers),
             self._scheduler.now_s(),
         )
-        source = f"peer {peer.address}"
-        self._learn_config(snapshot, source)
-        self._learn_listing(snapshot, steady_s, source)
 
     def _learn_config(self, snapshot: Snapshot, source: str) -> None:
         view = self._state.view
@@ -292,6 +266,8 @@
         if age_s is None or age_s > MAX_HELP_AGE_S:
             return
         now_s = self._scheduler.now_s()
+        # The age is of the moment when the peer answered, after it was asked.
+        age_s += now_s - self._asked_at_s
         changes = None
         if snapshot.listing is not None:
             listing = snapshot.listing.apply_to(directory.listing)
@@ -303,6 +279,12 @@
             self._observer.directory_applied(changes, source)
 
 
+def _is_enough(snapshot: Snapshot) -> bool:
+    """Whether a host may begin to serve with what another one believes."""
+    has_all = snapshot.config is not None and snapshot.listing is not None
+    return has_all and are_followed(snapshot.config_age_s, snapshot.listing_age_s)
+
+
 def _why_declined(snapshot: Snapshot | None) -> str:
     if snapshot is None:
         return "does not answer"
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -5,7 +5,9 @@
 before that.
 """
 
-from typing import NamedTuple
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import NamedTuple, TypeVar
 
 from wisteriatiller.exceptions import MessageError
 from wisteriatiller.ids import Address, Revision, ServiceId, UpstreamId, ZoneId
@@ -15,10 +17,14 @@
 from .upstreams import ListingUpdate, ListingVersion, Upstream, UpstreamState
 
 MAX_SNAPSHOT_BYTES = 8_000_000
-FORMAT = 2
-# Smaller snapshots would gain less than a packet by being compressed.
+FORMAT = 3
+# Smaller parts would gain less than a packet by being compressed.
 MIN_COMPRESSED_BYTES = 1_200
 COMPRESSION_LEVEL = 1
+# The steps to a listing from each of the last ones, the whole listing and the
+# configuration.
+MAX_ENCODED_PARTS = 16
+_Part = TypeVar("_Part", RouteConfig, ListingUpdate)
 _PLAIN = b"p"
 _COMPRESSED = b"c"
 
@@ -91,15 +97,43 @@
         raise MessageError(f"unreadable snapshot request: {error}") from error
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    import msgpack
+class SnapshotEncoder:
+    """Encodes snapshots; the large parts that many hosts ask for are encoded once."""
+
+    def __init__(self):
+        # By the identity of the part, which is kept here so that it stays unique.
+        self._encoded: OrderedDict[int, tuple[object, bytes]] = OrderedDict()
+
+    def encode(self, snapshot: Snapshot) -> bytes:
+        import msgpack
+
+        fields = snapshot._replace(
+            config=self._part(snapshot.config, _config_fields),
+            listing=self._part(snapshot.listing, _listing_fields),
+            peers=[[*address, zone] for address, zone in snapshot.peers],
+        )
+        return msgpack.packb([FORMAT, *fields])
+
+    def _part(
+        self, part: _Part | None, fields_of: Callable[[_Part], list]
+    ) -> bytes | None:
+        if part is None:
+            return None
+        known = self._encoded.get(id(part))
+        if known is not None:
+            self._encoded.move_to_end(id(part))
+            return known[1]
+        import msgpack
+
+        data = _compress(msgpack.packb(fields_of(part)))
+        self._encoded[id(part)] = part, data
+        if len(self._encoded) > MAX_ENCODED_PARTS:
+            self._encoded.popitem(last=False)
+        return data
 
-    fields = snapshot._replace(
-        config=_encode_config(snapshot.config),
-        listing=_encode_listing(snapshot.listing),
-        peers=[[*address, zone] for address, zone in snapshot.peers],
-    )
-    return _compress(msgpack.packb([FORMAT, *fields]))
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    return SnapshotEncoder().encode(snapshot)
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
@@ -107,7 +141,7 @@
     import msgpack
 
     try:
-        form, *fields = msgpack.unpackb(_decompress(data))
+        form, *fields = msgpack.unpackb(data)
         if form != FORMAT:
             raise MessageError(f"snapshot of format {form}, expected {FORMAT}")
         return _decode_fields(Snapshot(*fields))
@@ -145,10 +179,10 @@
 def _decode_fields(raw: Snapshot) -> Snapshot:
     return Snapshot(
         config_version=ConfigVersion(int(raw.config_version)),
-        config=_decode_config(raw.config),
+        config=_decode_config(_unpack(raw.config)),
         config_age_s=_decode_age_s(raw.config_age_s),
         directory_revision=Revision(int(raw.directory_revision)),
-        listing=_decode_listing(raw.listing),
+        listing=_decode_listing(_unpack(raw.listing)),
         listing_age_s=_decode_age_s(raw.listing_age_s),
         steady_s=max(0.0, float(raw.steady_s)),
         is_fresh=bool(raw.is_fresh),
@@ -165,9 +199,13 @@
     return None if value is None else max(0.0, float(value))
 
 
-def _encode_config(config: RouteConfig | None) -> list | None:
-    if config is None:
-        return None
+def _unpack(data: bytes | None) -> list | None:
+    import msgpack
+
+    return None if data is None else msgpack.unpackb(_decompress(data))
+
+
+def _config_fields(config: RouteConfig) -> list:
     routes = [
         [route.name, route.service_address, [list(part) for part in route.services]]
         for route in config.routes
@@ -196,9 +234,7 @@
     )
 
 
-def _encode_listing(update: ListingUpdate | None) -> list | None:
-    if update is None:
-        return None
+def _listing_fields(update: ListingUpdate) -> list:
     upstreams = [
         list(upstream._replace(state=upstream.state.value))
         for upstream in update.upstreams
--- a/testbed/steeringparts.py
+++ b/testbed/steeringparts.py
@@ -49,7 +49,7 @@
 
 
 def steering_settings(zone="a", host="host-1", number=1, **changes):
-    ip = f"10.0.0.{number}"
+    ip = f"10.0.{number >> 8}.{number & 255}"
     settings = SteeringSettings(
         host_id=HostId(host),
         zone=ZoneId(zone),
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -1,5 +1,7 @@
 """A store and hosts that share its reads, on virtual time."""
 
+from collections import Counter, deque
+
 from testbed.steeringparts import steering_settings
 from tests.steeringworld import listing
 from wisteriatiller.steering.directory import UpstreamDirectory
@@ -19,7 +21,8 @@
     StoreReader,
 )
 from wisteriatiller.steering.routes import ConfigView
-from wisteriatiller.steering.sharing import ReadSharing, SharedState
+from wisteriatiller.steering.sharedstate import SharedState
+from wisteriatiller.steering.sharing import ReadSharing
 from wisteriatiller.steering.snapshots import (
     decode_request,
     decode_snapshot,
@@ -47,12 +50,30 @@
         self.refuses = set()
         self.history_lost = False
         self.calls = 0
+        self.calls_by = Counter()
+        # Calls that the store takes in a second, and the pages of a listing.
+        self.reads_per_s = None
+        self.pages = 1
+        self._taken = deque()
         # The links of the hosts, towards the store and towards each other.
         self.link_bytes_per_s = None
         # Reads that need not be current show what was there this long ago.
         self.stale_s = 0.0
         self._listings = []
 
+    def take_calls(self, name, calls, now_s):
+        """Count calls; False if they are more than the store takes in a second."""
+        self.calls += calls
+        self.calls_by[name] += calls
+        if self.reads_per_s is None:
+            return True
+        while self._taken and self._taken[0] <= now_s - 1.0:
+            self._taken.popleft()
+        if len(self._taken) + calls > self.reads_per_s:
+            return False
+        self._taken.extend([now_s] * calls)
+        return True
+
     def put_config(self, config):
         self.revision += 1
         self.config = config
@@ -83,7 +104,7 @@
         self._answer(done, self._config, STORE_TIMEOUT_S, self._config_transfer_s())
 
     def watch_config(self, after, wait_s, done):
-        self._state.calls += 1
+        self._state.take_calls(self._name, 1, self._scheduler.now_s())
         end_s = self._scheduler.now_s() + wait_s
         self._poll(after, end_s, done)
 
@@ -91,7 +112,8 @@
         def make():
             return self._state.listing(is_current, self._scheduler.now_s())
 
-        self._answer(done, make, STORE_TIMEOUT_S)
+        pages = self._state.pages
+        self._answer(done, make, STORE_TIMEOUT_S, ANSWER_S * (pages - 1), pages)
 
     def move_to(self, address):
         raise NotImplementedError
@@ -125,9 +147,14 @@
             return 0.0
         return len(config.routes) * STORE_BYTES_PER_ROUTE / self._state.link_bytes_per_s
 
-    def _answer(self, done, make, timeout_s, transfer_s=0.0):
-        self._state.calls += 1
+    def _answer(self, done, make, timeout_s, transfer_s=0.0, calls=1):
+        now_s = self._scheduler.now_s()
+        is_taken = self._state.take_calls(self._name, calls, now_s)
         failure = self._failure()
+        if failure is None and not is_taken:
+            refusal = StoreFailure(StoreFailureReason.REFUSED, "status 429")
+            self._scheduler.call_later(ANSWER_S, lambda: done(refusal))
+            return
         if failure is None:
             self._scheduler.call_later(ANSWER_S + transfer_s, lambda: done(make()))
         else:
@@ -200,18 +227,18 @@
 class FleetHost:
     """The followers and the sharing of one host."""
 
-    def __init__(self, fleet, zone, number, seeds):
-        self.name = f"host-{number}"
+    def __init__(self, fleet, settings):
+        self.settings = settings
+        self.name = settings.host_id
         self.is_dead = False
         # The machine of a stopped process refuses connections; a dark one is silent.
         self.is_stopped = False
         self._sent_at_s = 0.0
-        self.settings = steering_settings(zone, self.name, number, seeds=seeds)
         own = Peer(self.settings.control_listen, self.settings.zone)
         self.view = ConfigView()
         self.directory = UpstreamDirectory()
         self.state = SharedState(self.view, self.directory, PeerRegistry(own))
-        for seed in seeds:
+        for seed in settings.seeds:
             self.state.registry.add(Peer(seed, ""), fleet.scheduler.now_s())
         store = FakeStore(fleet.scheduler, fleet.store, self.name)
         self.observer = QuietObserver(fleet.scheduler)
@@ -246,6 +273,13 @@
         for follower in self.followers:
             follower.pause()
 
+    def sleep(self):
+        """Stand still; ``wake`` lets the host answer before it has asked anybody."""
+        self.kill()
+
+    def wake(self):
+        self.is_dead = False
+
 
 class Fleet:
     """Hosts of several zones before one store."""
@@ -257,8 +291,12 @@
         self.by_address = {}
         self.cuts = set()
 
-    def add(self, zone, seeds=()):
-        host = FleetHost(self, zone, len(self.hosts) + 1, seeds)
+    def settings(self, number, zone, seeds=()):
+        return steering_settings(zone, f"host-{number}", number, seeds=seeds)
+
+    def add(self, zone, seeds=(), number=None):
+        number = number or len(self.hosts) + 1
+        host = FleetHost(self, self.settings(number, zone, seeds))
         self.hosts.append(host)
         self.by_address[host.settings.control_listen] = host
         host.sharing.start()
