--- a/src/wisteriatiller/owners/opening.py
+++ b/src/wisteriatiller/owners/opening.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from wisteriatiller.configuration import ConfigSource, Service
-from wisteriatiller.foundation import Environment
-from wisteriatiller.ids import FlowKey, UpstreamId
+from wisteriatiller.foundation import Environment, log_event
+from wisteriatiller.ids import FlowKey, ShardId, UpstreamId
 from wisteriatiller.leases import Ownership
 from wisteriatiller.outcomes import OutcomeUnknown, Reason
 from wisteriatiller.placement import earlier_homes
@@ -112,6 +112,7 @@
     ) -> EarlierHome | OutcomeUnknown:
         revision = self._source.configuration.revision
         message = ClaimFlow(forward.flow_key, home, forward.upstream_id, revision)
+        refusals = []
         for _ in range(CLAIM_ATTEMPTS):
             if not self._homes.is_reachable(home):
                 return EarlierHome(certain=False)
@@ -123,12 +124,27 @@
                 if isinstance(answer, ClaimAnswer) and answer.owned:
                     open_on = UpstreamId(answer.open_on) if answer.open_on else None
                     return EarlierHome(open_on)
+                refusals.append(f"{owner}: {type(answer).__name__}")
+            else:
+                refusals.append("no owner known")
             await asyncio.sleep(CLAIM_RETRY_S)
+        log_event(
+            "claim_unanswered",
+            level="warning",
+            flow=forward.flow_key.hex(),
+            earlier_home=home,
+            home=forward.upstream_id,
+            shard=self._shard_of(home),
+            config_revision=revision,
+            attempts="; ".join(refusals),
+        )
         return OutcomeUnknown(Reason.CLAIM_UNANSWERED)
 
-    def _owner_of(self, upstream_id: UpstreamId):
+    def _shard_of(self, upstream_id: UpstreamId) -> ShardId | None:
         configuration = self._source.configuration
         upstream = configuration.upstreams.get(upstream_id)
-        if upstream is None:
-            return None
-        return self._ownership.owner(configuration.shard_of(upstream))
+        return None if upstream is None else configuration.shard_of(upstream)
+
+    def _owner_of(self, upstream_id: UpstreamId):
+        shard = self._shard_of(upstream_id)
+        return None if shard is None else self._ownership.owner(shard)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,6 +13,7 @@
 
 import argparse
 import asyncio
+import logging as standard_logging
 import random
 import sys
 import time
@@ -296,6 +297,13 @@
     ]
 
 
+class VirtualTimeFormatter(standard_logging.Formatter):
+    """Puts the run's own time in front of each line."""
+
+    def format(self, record):
+        return f"t={asyncio.get_running_loop().time():.3f} {record.getMessage()}"
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m tests.soak")
     parser.add_argument("--seed", type=int, default=1)
@@ -304,6 +312,8 @@
     parser.add_argument("--log", action="store_true", help="keep the hosts' log lines")
     arguments = parser.parse_args()
     logging.set_verbosity(logging.INFO if arguments.log else logging.FATAL)
+    logging.use_absl_handler()
+    logging.get_absl_handler().setFormatter(VirtualTimeFormatter())
     started_s = time.monotonic()
     soak, verdict = run_soak(arguments.seed, arguments.minutes, arguments.faults)
     broken = violations(verdict, arguments.faults)
