Let the hold of a start end nothing but the start

The trace shows the pause, and flows opened 1 ms later: the timer that ends the hold of a start, due during the pause, had let packets through.

Change: it does so only while the host is starting.

--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -129,7 +129,7 @@
         self._add_seeds(self.settings)
         self.sharing.start()
         self._expire()
-        self._loop.call_later(MAX_HOLD_S, self.data_path.start)
+        self._loop.call_later(MAX_HOLD_S, self._end_first_hold)
 
     def stop(self, done: Callable[[], None]) -> None:
         """Leave the rotation, go on steering until routers have moved, then end."""
@@ -174,6 +174,11 @@
         )
         self.data_path.start()
 
+    def _end_first_hold(self) -> None:
+        """Steer what has come, though nothing is known yet."""
+        if self.readiness is Readiness.STARTING:
+            self.data_path.start()
+
     def _paused(self, paused_s: float) -> None:
         """Hold packets after a pause until the beliefs are up to date again.
 
