Add up what the hosts of a zone see, and spare upstreams that stand out

Cause: at 195 hosts one host sees a request of one upstream in five seconds. It cannot tell a slow upstream, which stays listed and healthy, from the rest, and the fewest open flows draw new flows to it.

Ruled out: a ban, which a whole zone would lay and lift at one moment; sums over zones, since new flows stay in their zone, which sees eight requests a second of an upstream; totals with a start's id, since a report that is sent once and not repeated cannot count twice.

Change: each host counts the waits of its requests in eight classes and adds the counts to the question that it asks its reader anyway. The reader sums them over 3 s and gives back the upstreams whose middle wait is four times that of their service and above 128 ms: they take between a half and a sixteenth of an even share of new flows. A third of a service at most; from six requests of three hosts on; four of one host at most; hosts that are slow for all upstreams are left out; a share that is not renewed for 2 s is whole again. Each lowered and restored share is a log line with its inputs.

--- a/src/wisteriatiller/steering/choice.py
+++ b/src/wisteriatiller/steering/choice.py
@@ -18,6 +18,7 @@
 from .directory import DirectoryEntry
 from .evidence import Evidence, UpstreamEvidence, Verdict
 from .flowtable import FlowTable
+from .zonesums import Shares
 
 _HASH_RANGE = float(1 << 64)
 
@@ -115,8 +116,10 @@
         remote_weight: float,
         flows: FlowTable,
         evidence: Evidence,
+        shares: Shares,
     ):
         self._zone = zone
+        self._shares = shares
         self._remote_weight = remote_weight
         self._flows = flows
         self._evidence = evidence
@@ -194,10 +197,11 @@
     def _without_ramping(
         self, pool: Sequence[DirectoryEntry], flow: FlowKey, now_s: float
     ) -> list[DirectoryEntry]:
-        """Leave out new and returned upstreams, but for their share of the flows.
+        """Leave out new, returned and slow upstreams, but for their share of the flows.
 
         They have the fewest open flows, and would get all new ones while they are
-        still slow.
+        still slow. A share lowers the chance of each host alone, so that the zone does
+        not turn away from an upstream at one moment.
         """
         return [
             entry
@@ -206,8 +210,9 @@
         ]
 
     def _ramp(self, entry: DirectoryEntry, now_s: float) -> float:
-        """The part of an even share that an upstream may take; infinite if warm."""
-        ramp = self._of(entry).ramp(now_s)
+        """The part of an even share that an upstream may take; infinite if usual."""
+        share = self._shares.part_of(entry.tag, now_s)
+        ramp = min(share, self._of(entry).ramp(now_s))
         listed_ms = 1000.0 * (now_s - entry.since_s)
         if entry.upstream.cold_for_ms > listed_ms:
             return min(ramp, COLD_SHARE)
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -23,6 +23,7 @@
 from .snapshots import SnapshotEncoder, decode_request
 from .status import steering_status
 from .steering import FlowSteering
+from .zoneevidence import ZoneEvidence
 
 READY_PATH = "/ready"
 STATUS_PATH = "/status"
@@ -107,6 +108,13 @@
             loop,
             HttpPeerLink(loop, settings, log),
             self._shared,
+            ZoneEvidence(
+                own.address,
+                self.directory,
+                self.steering.observations,
+                self.steering.shares,
+                reporter,
+            ),
             (config_follower, directory_follower),
             observer,
             reporter.source_changed,
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -11,6 +11,8 @@
 from .routes import ConfigView, Route
 from .sharing import Source
 from .steering import SteeringObserver
+from .zoneevidence import ZoneObserver
+from .zonesums import Share
 
 # A flow that opens within this time has lost no packet on the way.
 SLOW_OPENING_S = 0.15
@@ -20,7 +22,7 @@
 MAX_CHANGE_LINES = 40
 
 
-class Reporter(SteeringObserver, FollowerObserver):
+class Reporter(SteeringObserver, FollowerObserver, ZoneObserver):
     """Writes one line for each decision and each changed belief."""
 
     def __init__(
@@ -91,6 +93,14 @@
         self._counters.count("upstreams_trusted")
         self._log.event("upstream_trusted", upstream=upstream_id)
 
+    def share_lowered(self, share: Share) -> None:
+        self._counters.count("shares_lowered")
+        self._share_line("upstream_share_lowered", share)
+
+    def share_restored(self, share: Share) -> None:
+        self._counters.count("shares_restored")
+        self._share_line("upstream_share_restored", share)
+
     def tag_unknown(self) -> None:
         self.on_unknown_tag()
 
@@ -162,6 +172,17 @@
             "source_changed", source=source.value, reason=reason, **self._beliefs()
         )
 
+    def _share_line(self, event: str, share: Share) -> None:
+        self._log.event(
+            event,
+            upstream=share.upstream_id,
+            part=round(share.part, 3),
+            median_class=share.median_class,
+            samples=share.samples,
+            hosts=share.hosts,
+            **self._beliefs(),
+        )
+
     def _drop_line(self, event: str, packet: Packet, reason: str) -> None:
         self._log.flow_event(
             event,
--- a/src/wisteriatiller/steering/sharedstate.py
+++ b/src/wisteriatiller/steering/sharedstate.py
@@ -1,12 +1,15 @@
 """The beliefs that hosts share, and the answer to a host that asks for them."""
 
+from collections.abc import Mapping
+
 from wisteriatiller.ids import Address
 
 from .directory import UpstreamDirectory
+from .observations import Report
 from .peers import Peer, PeerRegistry
 from .routes import ConfigView, RouteConfig
 from .snapshots import Snapshot, SnapshotRequest
-from .upstreams import ListingUpdate, ListingVersion
+from .upstreams import ListingUpdate, ListingVersion, Tag
 
 # A listing that is older than this shows that its reader has lost the store.
 MAX_LISTING_AGE_S = 1.3
@@ -41,7 +44,9 @@
         """Whether this host's beliefs are of ages that following the store explains."""
         return are_followed(self.view.age_s(now_s), self.directory.age_s(now_s))
 
-    def request(self, wants_peers: bool, wants_large_config: bool) -> SnapshotRequest:
+    def request(
+        self, wants_peers: bool, wants_large_config: bool, report: Report = ()
+    ) -> SnapshotRequest:
         return SnapshotRequest(
             address=self.registry.own.address,
             zone=self.registry.own.zone,
@@ -50,6 +55,7 @@
             listing_version=self.directory.version,
             wants_peers=wants_peers,
             wants_large_config=wants_large_config,
+            report=report,
         )
 
     def snapshot(
@@ -58,6 +64,7 @@
         is_reading: bool,
         has_lost_store: bool,
         follows: Address | None,
+        shares: Mapping[Tag, float],
         now_s: float,
     ) -> Snapshot:
         """What is newer than the request; its sender becomes known by asking.
@@ -85,6 +92,7 @@
             has_lost_store=has_lost_store,
             follows=follows,
             peers=self._peers() if request.wants_peers else (),
+            shares=shares,
         )
 
     def _update_since(self, version: ListingVersion) -> ListingUpdate:
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -18,6 +18,7 @@
 from .settings import SteeringSettings
 from .sharedstate import SharedState, are_followed
 from .snapshots import Snapshot, SnapshotRequest
+from .zoneevidence import ZoneEvidence
 
 # A snapshot that is older says nothing that a host could still act on.
 MAX_HELP_AGE_S = 30.0
@@ -47,6 +48,7 @@
         scheduler: Scheduler,
         link: PeerLink,
         state: SharedState,
+        zone: ZoneEvidence,
         followers: tuple[ConfigFollower, DirectoryFollower],
         observer: FollowerObserver,
         changed_source: Callable[[Source, str], None],
@@ -56,6 +58,7 @@
         self._link = link
         self._state = state
         self._registry = state.registry
+        self._zone = zone
         self._config_follower, self._directory_follower = followers
         self._directory_follower.on_answer = self._store_answered
         self._observer = observer
@@ -91,7 +94,11 @@
         is_reading = reads_itself and not is_lost
         now_s = self._scheduler.now_s()
         follows = None if self._reader is None else self._reader.address
-        return self._state.snapshot(request, is_reading, is_lost, follows, now_s)
+        self._zone.collect(request.address, request.report, now_s)
+        shares = self._zone.judge(now_s) if is_reading else {}
+        return self._state.snapshot(
+            request, is_reading, is_lost, follows, shares, now_s
+        )
 
     def _is_store_lost(self) -> bool:
         return self._config_follower.is_lost() or self._directory_follower.is_lost()
@@ -119,6 +126,8 @@
             return
         if snapshot is not None:
             self._learn_peers(snapshot)
+        # All hosts may be starting; the store then answers sooner than they do.
+        self._read_store("a seed has no beliefs yet")
         self._ask_first()
 
     def _stop_waiting(self) -> None:
@@ -162,7 +171,8 @@
                 self._introduced_at_s = now_s
             take(peer, snapshot)
 
-        request = self._state.request(wants_peers, self._wants_large_config())
+        report = self._zone.report() if peer == self._reader else ()
+        request = self._state.request(wants_peers, self._wants_large_config(), report)
         self._link.ask(peer.address, request, finish)
 
     def _wants_large_config(self) -> bool:
@@ -182,6 +192,7 @@
             return
         self._registry.add(peer, now_s)
         self._reader = peer
+        self._zone.heard(snapshot.shares, now_s)
         self._learn(peer, snapshot, snapshot.steady_s)
         if self.source is Source.STORE:
             self.source = Source.PEER
@@ -217,7 +228,10 @@
     def _read_store(self, reason: str) -> None:
         """Read, with one kind of call only while the store may be away."""
         self._reader = None
-        is_patient = self._scheduler.now_s() < self._lost_until_s
+        now_s = self._scheduler.now_s()
+        # What this host has seen must not wait for a follower that asks.
+        self._zone.judge(now_s)
+        is_patient = now_s < self._lost_until_s
         self._directory_follower.resume(is_patient)
         if self._directory_follower.is_failing():
             self._config_follower.pause()
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -6,18 +6,19 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, TypeVar
 
 from wisteriatiller.exceptions import MessageError
 from wisteriatiller.ids import Address, Revision, ServiceId, UpstreamId, ZoneId
 
+from .observations import CLASSES, Report, WaitCounts
 from .packets import ServiceAddress
 from .routes import ConfigVersion, Route, RouteConfig, WeightedService
-from .upstreams import ListingUpdate, ListingVersion, Upstream, UpstreamState
+from .upstreams import ListingUpdate, ListingVersion, Tag, Upstream, UpstreamState
 
 MAX_SNAPSHOT_BYTES = 8_000_000
-FORMAT = 3
+FORMAT = 4
 # Smaller parts would gain less than a packet by being compressed.
 MIN_COMPRESSED_BYTES = 1_200
 COMPRESSION_LEVEL = 1
@@ -33,7 +34,8 @@
     """Who asks, and what it has already.
 
     ``wants_large_config`` asks for a configuration of any size; without it, a large
-    one is left to the store.
+    one is left to the store. ``report`` says what the host has seen of upstreams since
+    it last asked.
     """
 
     address: Address
@@ -43,6 +45,7 @@
     listing_version: ListingVersion
     wants_peers: bool
     wants_large_config: bool
+    report: Report = ()
 
 
 class Snapshot(NamedTuple):
@@ -51,7 +54,8 @@
     ``is_fresh`` says that others may follow the host, and ``has_lost_store`` that it
     tries to read the store in vain. ``follows`` names the host that reads for it.
     ``steady_s`` says for how long the store has been read without a failure. An age of
-    None means that there is nothing.
+    None means that there is nothing. ``shares`` names the upstreams that are to get
+    less than their usual share of new flows.
     """
 
     config_version: ConfigVersion
@@ -65,16 +69,18 @@
     has_lost_store: bool
     follows: Address | None
     peers: tuple[tuple[Address, ZoneId], ...]
+    shares: Mapping[Tag, float]
 
 
 def encode_request(request: SnapshotRequest) -> str:
     """The request as the query of a URL.
 
-    ``10.1.0.10:8166,quimper-a,7,530,9120434,1,0``
+    ``10.1.0.10:8166,quimper-a,7,530,9120434,1,0,``
     """
     fields = request._replace(
         wants_peers=int(request.wants_peers),
         wants_large_config=int(request.wants_large_config),
+        report=_encode_report(request.report),
     )
     return ",".join(map(str, fields))
 
@@ -83,7 +89,7 @@
     """Read the query of a URL; ``MessageError`` if it is no request."""
     try:
         address, zone, version, revision, listing, *wants = query.split(",")
-        wants_peers, wants_large = wants
+        wants_peers, wants_large, report = wants
         return SnapshotRequest(
             address=Address.parse(address),
             zone=ZoneId(zone),
@@ -92,11 +98,29 @@
             listing_version=ListingVersion(int(listing)),
             wants_peers=bool(int(wants_peers)),
             wants_large_config=bool(int(wants_large)),
+            report=_decode_report(report),
         )
     except ValueError as error:
         raise MessageError(f"unreadable snapshot request: {error}") from error
 
 
+def _encode_report(report: Report) -> str:
+    """Each upstream's tag and counts; a dot stands between numbers.
+
+    ``1730542071.0.2.5.1.0.0.0.0;99120.0.0.0.0.0.0.0.1``
+    """
+    return ";".join(".".join(map(str, (tag, *counts))) for tag, counts in report)
+
+
+def _decode_report(text: str) -> Report:
+    if not text:
+        return ()
+    rows = [tuple(map(int, part.split("."))) for part in text.split(";")]
+    if any(len(row) != 1 + CLASSES or min(row) < 0 for row in rows):
+        raise MessageError("unreadable report in a snapshot request")
+    return tuple(WaitCounts(Tag(tag), tuple(counts)) for tag, *counts in rows)
+
+
 class SnapshotEncoder:
     """Encodes snapshots; the large parts that many hosts ask for are encoded once."""
 
@@ -111,6 +135,7 @@
             config=self._part(snapshot.config, _config_fields),
             listing=self._part(snapshot.listing, _listing_fields),
             peers=[[*address, zone] for address, zone in snapshot.peers],
+            shares=list(snapshot.shares.items()),
         )
         return msgpack.packb([FORMAT, *fields])
 
@@ -192,9 +217,14 @@
             (Address(str(ip), int(port)), ZoneId(str(zone)))
             for ip, port, zone in raw.peers
         ),
+        shares={Tag(int(tag)): _decode_part(part) for tag, part in raw.shares},
     )
 
 
+def _decode_part(part: object) -> float:
+    return min(1.0, max(0.0, float(part)))
+
+
 def _decode_age_s(value: object) -> float | None:
     return None if value is None else max(0.0, float(value))
 
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -14,6 +14,7 @@
 from .directory import Change, DirectoryEntry, Presence, UpstreamDirectory
 from .evidence import Evidence
 from .flowtable import Flow, FlowState, FlowTable, is_after
+from .observations import Observations
 from .packets import (
     Decision,
     Discard,
@@ -27,6 +28,7 @@
 from .routes import ConfigView, Route
 from .settings import SteeringSettings
 from .upstreams import NO_TAG, UpstreamState
+from .zonesums import Shares
 
 # Clients repeat after 200 ms; packets that change places on the way are closer.
 MIN_REPEAT_S = 0.15
@@ -86,11 +88,17 @@
         self._config = config
         self._observer = observer
         self.evidence = Evidence()
+        self.observations = Observations()
+        self.shares = Shares()
         self.flows = FlowTable(settings.flow_idle_s)
         self._unconfirmed: deque[Flow] = deque()
         self._unanswered: deque[tuple[Flow, float]] = deque()
         self.chooser: FlowChooser = UpstreamChooser(
-            settings.zone, settings.remote_weight, self.flows, self.evidence
+            settings.zone,
+            settings.remote_weight,
+            self.flows,
+            self.evidence,
+            self.shares,
         )
 
     def steer(self, packet: Packet, now_s: float) -> Decision:
@@ -155,6 +163,7 @@
             self._unanswered.popleft()
             if flow.asked_at_s != asked_at_s:
                 continue
+            self.observations.unanswered(flow.upstream_id)
             if self.evidence.of(flow.upstream_id).unanswered(asked_at_s, now_s):
                 self._observer.suspected(flow.upstream_id, 1)
 
@@ -313,6 +322,7 @@
         # The next request may have waited for the client's user.
         if not packet.payload_bytes:
             evidence.waited(now_s - asked_at_s)
+            self.observations.answered(flow.upstream_id, now_s - asked_at_s)
             self._observer.request_answered(flow, now_s - asked_at_s)
 
     def _progress(self, flow: Flow, now_s: float) -> None:
@@ -320,6 +330,8 @@
             self._observer.trusted(flow.upstream_id)
 
     def _complain(self, flow: Flow, now_s: float, is_opening: bool) -> None:
+        if is_opening:
+            self.observations.unanswered(flow.upstream_id)
         evidence = self.evidence.of(flow.upstream_id)
         if evidence.complaint(flow.key, flow.sent_at_s, now_s, is_opening):
             self._observer.suspected(flow.upstream_id, evidence.complaining_flows())
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -10,6 +10,7 @@
     DirectoryFollower,
     FollowerObserver,
 )
+from wisteriatiller.steering.observations import Observations
 from wisteriatiller.steering.peers import Peer, PeerLink, PeerRegistry
 from wisteriatiller.steering.ports import (
     ConfigMissing,
@@ -29,6 +30,8 @@
     encode_request,
     encode_snapshot,
 )
+from wisteriatiller.steering.zoneevidence import ZoneEvidence, ZoneObserver
+from wisteriatiller.steering.zonesums import Shares
 
 ANSWER_S = 0.004
 STORE_TIMEOUT_S = 1.0
@@ -194,6 +197,14 @@
         pass
 
 
+class QuietZoneObserver(ZoneObserver):
+    def share_lowered(self, share):
+        pass
+
+    def share_restored(self, share):
+        pass
+
+
 class FakeLink(PeerLink):
     """Passes requests to the other hosts of a fleet, encoded as on the wire."""
 
@@ -247,11 +258,21 @@
             ConfigFollower(*parts, self.view, self.observer),
             DirectoryFollower(*parts, self.directory, self.observer),
         )
+        self.observations = Observations()
+        self.shares = Shares()
+        self.zone = ZoneEvidence(
+            own.address,
+            self.directory,
+            self.observations,
+            self.shares,
+            QuietZoneObserver(),
+        )
         self.sharing = ReadSharing(
             self.settings,
             fleet.scheduler,
             FakeLink(fleet, self.name),
             self.state,
+            self.zone,
             self.followers,
             self.observer,
             lambda source, reason: None,
--- /dev/null
+++ b/tests/steps/zonesums_steps.py
@@ -0,0 +1,206 @@
+"""Steps for the sums of what the hosts of a zone see."""
+
+import random
+
+from behave import given, then, when
+
+from testbed.steeringparts import upstream
+from tests.steeringworld import SteeringWorld, listing, opening
+from wisteriatiller.ids import Address
+from wisteriatiller.steering.directory import UpstreamDirectory
+from wisteriatiller.steering.observations import Observations
+from wisteriatiller.steering.upstreams import upstream_tag
+from wisteriatiller.steering.zonesums import Shares, ZoneSums
+
+REPORT_INTERVAL_S = 0.6
+REQUESTS_PER_S = 8
+SLOW_ID = "i-3"
+
+
+class Zone:
+    """Hosts that report to one reader, and requests spread over them at random."""
+
+    def __init__(self, hosts, upstreams):
+        self.random = random.Random(7)
+        self.now_s = 1000.0
+        self.hosts = [Address("10.0.1.1", 8000 + number) for number in range(hosts)]
+        self.upstreams = [f"i-{number}" for number in range(1, upstreams + 1)]
+        self.directory = UpstreamDirectory()
+        made = [upstream(str(number)) for number in range(1, upstreams + 1)]
+        self.directory.apply(listing(1, *made), self.now_s)
+        self.sums = ZoneSums(self.directory)
+
+    def run(self, duration_s, wait_s):
+        """``wait_s`` names a request's wait by upstream and host; None if none ends."""
+        for _ in range(round(duration_s / REPORT_INTERVAL_S)):
+            self.now_s += REPORT_INTERVAL_S
+            seen = {host: Observations() for host in self.hosts}
+            for upstream_id in self.upstreams:
+                for _ in range(round(REQUESTS_PER_S * REPORT_INTERVAL_S)):
+                    host = self.random.choice(self.hosts)
+                    self._see(seen[host], upstream_id, wait_s(upstream_id, host))
+            for host, observations in seen.items():
+                self.sums.add(host, observations.take(), self.now_s)
+
+    def _see(self, observations, upstream_id, waited_s):
+        if waited_s is None:
+            observations.unanswered(upstream_id)
+        else:
+            spread = self.random.uniform(0.7, 1.3)
+            observations.answered(upstream_id, spread * waited_s)
+
+    def lowered(self):
+        shares = self.sums.shares(self.now_s)
+        return {share.upstream_id: share.part for share in shares.values()}
+
+
+@given("a zone of {hosts:d} hosts before {upstreams:d} upstreams of a service")
+def given_zone(context, hosts, upstreams):
+    context.zone_sums = Zone(hosts, upstreams)
+
+
+@when("upstream 3 takes {slow_ms:d} ms, the others {usual_ms:d} ms, for {s:g} seconds")
+def when_slow(context, slow_ms, usual_ms, s):
+    def wait_s(upstream_id, host):
+        return (slow_ms if upstream_id == SLOW_ID else usual_ms) / 1000
+
+    context.zone_sums.run(s, wait_s)
+
+
+@when("upstream 3 answers nothing, the others in {usual_ms:d} ms, for {s:g} seconds")
+def when_silent(context, usual_ms, s):
+    def wait_s(upstream_id, host):
+        return None if upstream_id == SLOW_ID else usual_ms / 1000
+
+    context.zone_sums.run(s, wait_s)
+
+
+@when(
+    "{count:d} upstreams take {slow_ms:d} ms, the others {usual_ms:d} ms, for {s:g} "
+    "seconds"
+)
+def when_many_slow(context, count, slow_ms, usual_ms, s):
+    slow = set(context.zone_sums.upstreams[:count])
+
+    def wait_s(upstream_id, host):
+        return (slow_ms if upstream_id in slow else usual_ms) / 1000
+
+    context.zone_sums.run(s, wait_s)
+
+
+@when(
+    "all is well for {s:g} seconds, but for {count:d} hosts that see {ms:d} ms "
+    "everywhere"
+)
+def when_slow_hosts(context, s, count, ms):
+    slow = set(context.zone_sums.hosts[:count])
+    context.zone_sums.run(s, lambda _, host: (ms if host in slow else 40) / 1000)
+
+
+@when(
+    "all is well for {s:g} seconds, and {count:d} hosts report {slow:d} slow requests "
+    "of upstream 3"
+)
+def when_nonsense(context, s, count, slow):
+    zone = context.zone_sums
+    zone.run(s, lambda upstream_id, host: 0.04)
+    for host in zone.hosts[:count]:
+        observations = Observations()
+        for _ in range(slow):
+            observations.unanswered(SLOW_ID)
+        zone.sums.add(host, observations.take(), zone.now_s)
+
+
+@when("a host hears the shares, and {s:g} seconds pass")
+def when_hears(context, s):
+    zone = context.zone_sums
+    context.heard = Shares()
+    parts = {tag: one.part for tag, one in zone.sums.shares(zone.now_s).items()}
+    context.heard.set(parts, zone.now_s)
+    assert context.heard.part_of(upstream_tag(SLOW_ID), zone.now_s) < 1.0
+    zone.now_s += s
+
+
+@then("only upstream 3 is to get less than its share")
+def then_only(context):
+    assert set(context.zone_sums.lowered()) == {SLOW_ID}, context.zone_sums.lowered()
+
+
+@then("it keeps at least a sixteenth of it")
+def then_keeps(context):
+    assert 1 / 16 <= context.zone_sums.lowered()[SLOW_ID] <= 1 / 4
+
+
+@then("no upstream is to get less than its share")
+def then_none(context):
+    assert not context.zone_sums.lowered(), context.zone_sums.lowered()
+
+
+@then("at most {count:d} upstreams are to get less than their share")
+def then_at_most(context, count):
+    assert 0 < len(context.zone_sums.lowered()) <= count
+
+
+@then("that host gives upstream 3 its whole share")
+def then_whole(context):
+    part = context.heard.part_of(upstream_tag(SLOW_ID), context.zone_sums.now_s)
+    assert part == 1.0, part
+
+
+@when("the hosts of the first zone see a slow upstream for {s:g} seconds")
+def when_zone_sees(context, s):
+    hosts = [host for host in context.fleet.hosts if host.settings.zone == "a"]
+    fast = [f"i-{number}" for number in range(2, 8)]
+    made = [upstream(str(number)) for number in range(1, 8)]
+    context.fleet.store.put_upstreams(context.scheduler.now_s(), *made)
+    for _ in range(round(s / 0.2)):
+        for host in hosts:
+            host.observations.answered("i-1", 0.5)
+            for upstream_id in fast:
+                host.observations.answered(upstream_id, 0.03)
+        context.scheduler.run_for(0.2)
+
+
+def giving_less(context):
+    now_s = context.scheduler.now_s()
+    tag = upstream_tag("i-1")
+    return {
+        host.name
+        for host in context.fleet.hosts
+        if host.shares.part_of(tag, now_s) < 1.0
+    }
+
+
+@then("each host of the first zone gives it less than its share")
+def then_zone_less(context):
+    zone = {host.name for host in context.fleet.hosts if host.settings.zone == "a"}
+    assert zone <= giving_less(context), giving_less(context)
+
+
+@then("no other host does")
+def then_no_other(context):
+    others = {host.name for host in context.fleet.hosts if host.settings.zone != "a"}
+    assert not others & giving_less(context), giving_less(context)
+
+
+@given(
+    "steering with {count:d} upstreams of which the first has an eighth of its share"
+)
+def given_lowered(context, count):
+    made = [upstream(f"{number}") for number in range(1, count + 1)]
+    context.world = SteeringWorld(entries=made)
+
+
+@when("{count:d} flows are opened one after the other")
+def when_opened(context, count):
+    world = context.world
+    context.chosen = []
+    for number in range(count):
+        world.now_s += 0.05
+        world.steering.shares.set({upstream_tag("i-1"): 0.125}, world.now_s)
+        context.chosen.append(world.steer(opening(number)).upstream.upstream_id)
+
+
+@then("the first upstream gets between {least:d} and {most:d} of them")
+def then_between(context, least, most):
+    assert least <= context.chosen.count("i-1") <= most, context.chosen.count("i-1")
