Tell a candidate which epochs it has released

The shards had no owner for 2.6 s; requests are given up after 1 s.

Change: a grantor names the later of the highest epoch granted and the last one that the candidate released, so that the next try is above it.

--- a/src/wisteriatiller/leases/grantors.py
+++ b/src/wisteriatiller/leases/grantors.py
@@ -90,8 +90,10 @@
         grant = self._grants.get(index)
         if grant is None:
             grant = self._grants[index] = Grant()
+        # A candidate that restarted does not know which epochs it has released, and
+        # gets no lease up to the last of them.
         before = (
-            grant.highest_epoch,
+            max(grant.highest_epoch, grant.released.get(holder, 0)),
             grant.held_epoch,
             grant.held_by,
             grant.generation,
--- a/tests/lease.feature
+++ b/tests/lease.feature
@@ -46,6 +46,16 @@
     Then never two hosts held a lease
     And after healing each shard has an owner within 12 seconds
 
+  Scenario: A host that restarted gets a lease although it released later epochs
+    # Pattern: hosts are stopped in turn. A successor that lost its memory counts up from
+    # the last lease, while grantors remember epochs that it gave back. Guards against an
+    # epoch for each round, with a grantor away that each round waits for. Found by the
+    # soak, seed 203: two shards without an owner for 2.6 s.
+    Given a zone of 3 hosts that lease 1 ownership shards
+    When a host gives back 60 later epochs and restarts, and takes over as the owner ends
+    Then it holds the lease within 1 seconds
+    And never two hosts held a lease
+
   Scenario: Leases go on while the store is away
     # Guards against renewals or fail-overs that need the store.
     Given a zone of 5 hosts that lease 2 ownership shards
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -6,12 +6,14 @@
 
 from tests.fakes import run_virtual
 from tests.faults import run_seed
-from tests.zone import Zone
-from wisteriatiller.leases.leasemessages import LeaseRequest
+from tests.fleet import wait_until
+from tests.zone import ZONE, Zone
+from wisteriatiller.leases.leasemessages import LeaseRelease, LeaseRequest
 
 SEED = 11
 START_LIMIT_S = 30.0
 SETTLE_S = 5.0
+TAKEOVER_LIMIT_S = 60.0
 
 
 def run_zone(context, scenario, first=None):
@@ -158,6 +160,54 @@
     run_zone(context, scenario, first=2)
 
 
+@when(
+    "a host gives back {count:d} later epochs and restarts, and takes over as the "
+    "owner ends"
+)
+def when_gave_back(context, count):
+    async def scenario(zone):
+        (shard,) = zone.shards
+        (owner,) = zone.holders(shard)
+        name, other = (name for name in zone.names if name != owner)
+        epoch = zone.hosts[owner].leases.epoch(shard)
+        release = LeaseRelease(ZONE, ((shard.index, epoch + count),))
+        await zone.hosts[name].environment.peers.call(other, release, 1.0)
+        successor = zone.boot(name)
+        # Its own grants from before the restart have run out after this.
+        await asyncio.sleep(SETTLE_S)
+        assert zone.holders(shard) == [owner], zone.holders(shard)
+        assert await zone.hosts[owner].leases.register_backup(shard, name)
+        await zone.hosts[owner].leases.release(shard)
+        zone.crash(owner)
+        return await wait_until(
+            lambda: (
+                successor.leases.remaining_s(shard) > 0
+                or not spawn_seek(successor, shard)
+            ),
+            TAKEOVER_LIMIT_S,
+        )
+
+    run_zone(context, scenario)
+
+
+def spawn_seek(host, shard):
+    """Seek as the successor of a hand-over does, in a task of its own."""
+    if not getattr(host, "is_seeking", False):
+        host.is_seeking = True
+
+        async def seek():
+            while not await host.leases.seek(shard):
+                await asyncio.sleep(0.02)
+
+        host.run(seek())
+    return True
+
+
+@then("it holds the lease within {limit_s:g} seconds")
+def then_holds(context, limit_s):
+    assert context.scenario_result <= limit_s, context.scenario_result
+
+
 @when("the store goes away and then the owner of a shard dies")
 def when_store_away(context):
     async def scenario(zone):
