--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -126,8 +126,6 @@
             return
         if snapshot is not None:
             self._learn_peers(snapshot)
-        # All hosts may be starting; the store then answers sooner than they do.
-        self._read_store("a seed has no beliefs yet")
         self._ask_first()
 
     def _stop_waiting(self) -> None:
