--- /dev/null
+++ b/tests/sharingfleet.py
@@ -0,0 +1,39 @@
+"""Fleets of sharing hosts that several features begin with."""
+
+import random
+
+from testbed.steeringparts import VirtualScheduler, route_config, upstream
+from tests.steeringfakes import Fleet
+
+ZONES = "abc"
+
+
+def config(version):
+    return route_config(version, ("stock", 1.0))
+
+
+def make_fleet(context, is_silent, hosts=12, zones=ZONES):
+    random.seed(1)
+    context.scheduler = VirtualScheduler()
+    context.fleet = Fleet(context.scheduler)
+    store = context.fleet.store
+    store.put_config(config(1))
+    store.put_upstreams(1000.0, upstream("1"), upstream("2", zone="b"))
+    if is_silent:
+        store.silent_for = {f"host-{number + 1}" for number in range(hosts)}
+    seed = context.fleet.add(zones[0])
+    for number in range(1, hosts):
+        zone = zones[number % len(zones)]
+        context.fleet.add(zone, (seed.settings.control_listen,))
+    context.dead = []
+
+
+def start_host(context, zone, duration_s):
+    seed = context.fleet.hosts[0].settings.control_listen
+    context.newcomer = context.fleet.add(zone, (seed,))
+    context.scheduler.run_for(duration_s)
+
+
+def check_version(hosts, version):
+    behind = {host.name: host.view.version for host in hosts}
+    assert set(behind.values()) == {version}, behind
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -1,38 +1,13 @@
 """Steps for hosts that share reads of the store."""
 
-import random
-
 from behave import given, then, when
 
-from testbed.steeringparts import VirtualScheduler, route_config, upstream
-from tests.steeringfakes import Fleet
+from testbed.steeringparts import upstream
+from tests.sharingfleet import check_version, config, make_fleet, start_host
 from tests.steeringworld import large_config
 from wisteriatiller.steering import UpstreamState
 from wisteriatiller.steering.sharing import Source
 
-ZONES = "abc"
-STORE_READS_PER_S = 2000
-
-
-def config(version):
-    return route_config(version, ("stock", 1.0))
-
-
-def make_fleet(context, is_silent, hosts=12, zones=ZONES):
-    random.seed(1)
-    context.scheduler = VirtualScheduler()
-    context.fleet = Fleet(context.scheduler)
-    store = context.fleet.store
-    store.put_config(config(1))
-    store.put_upstreams(1000.0, upstream("1"), upstream("2", zone="b"))
-    if is_silent:
-        store.silent_for = {f"host-{number + 1}" for number in range(hosts)}
-    seed = context.fleet.add(zones[0])
-    for number in range(1, hosts):
-        zone = zones[number % len(zones)]
-        context.fleet.add(zone, (seed.settings.control_listen,))
-    context.dead = []
-
 
 @given("12 sharing hosts in 3 zones that know one seed")
 def given_fleet(context):
@@ -45,28 +20,6 @@
     context.scheduler.run_for(5.0)
 
 
-@given(
-    "{hosts:d} hosts in 3 zones that start within {within_s:g} seconds before a store "
-    "of {pages:d} pages"
-)
-def given_large_start(context, hosts, within_s, pages):
-    random.seed(1)
-    context.scheduler = VirtualScheduler()
-    context.fleet = Fleet(context.scheduler)
-    store = context.fleet.store
-    store.pages = pages
-    store.reads_per_s = STORE_READS_PER_S
-    store.put_config(config(1))
-    store.put_upstreams(1000.0, upstream("1"), upstream("2", zone="b"))
-    seeds = tuple(
-        context.fleet.settings(number, "a").control_listen for number in (1, 2, 3)
-    )
-    order = random.sample(range(1, hosts + 1), hosts)
-    for number in order:
-        context.scheduler.run_for(within_s / hosts)
-        context.fleet.add(ZONES[number % 3], seeds, number)
-
-
 @given("{hosts:d} sharing hosts in one zone with links of {rate_kb:d} KB a second")
 def given_thin(context, hosts, rate_kb):
     make_fleet(context, is_silent=False, hosts=hosts, zones="a")
@@ -214,12 +167,6 @@
     context.fleet.store.silent_for = {f"host-{number}" for number in range(1, 20)}
 
 
-def start_host(context, zone, duration_s):
-    seed = context.fleet.hosts[0].settings.control_listen
-    context.newcomer = context.fleet.add(zone, (seed,))
-    context.scheduler.run_for(duration_s)
-
-
 @when("every fourth host gives up on the reader and {duration_s:g} seconds pass")
 def when_gives_up(context, duration_s):
     (reader,) = readers(context)
@@ -239,34 +186,6 @@
     start_host(context, "a", duration_s)
 
 
-@when("the seed loses its power")
-def when_seed_dies(context):
-    context.fleet.hosts[0].kill()
-
-
-@when("the seed is cut off from the store and all hosts")
-def when_seed_cut(context):
-    seed = context.fleet.hosts[0]
-    context.fleet.store.silent_for = {seed.name}
-    for other in context.fleet.hosts[1:]:
-        context.fleet.cut(seed, other)
-
-
-@when("the seed sleeps")
-def when_seed_sleeps(context):
-    context.fleet.hosts[0].sleep()
-
-
-@when("the seed wakes")
-def when_seed_wakes(context):
-    context.fleet.hosts[0].wake()
-
-
-@when("a host that reaches the seed starts and {duration_s:g} seconds pass")
-def when_start_near_seed(context, duration_s):
-    start_host(context, "b", duration_s)
-
-
 @when("the store answers again and {duration_s:g} seconds pass")
 def when_back(context, duration_s):
     context.fleet.store.silent_for = set()
@@ -314,11 +233,6 @@
     assert context.fleet.store.calls <= limit, context.fleet.store.calls
 
 
-def check_version(hosts, version):
-    behind = {host.name: host.view.version for host in hosts}
-    assert set(behind.values()) == {version}, behind
-
-
 @then("every host runs configuration {version:d}")
 def then_every(context, version):
     check_version(context.fleet.hosts, version)
@@ -341,25 +255,6 @@
     assert len(list(context.newcomer.directory.entries())) == count
 
 
-@then("the new host has made {count:d} calls to the store")
-def then_newcomer_calls(context, count):
-    calls = context.fleet.store.calls_by[context.newcomer.name]
-    assert calls == count, calls
-
-
-@then("the new host gives no new flows to the draining upstream")
-def then_newcomer_drained(context):
-    taking = context.newcomer.directory.of_service("stock")
-    assert [entry.upstream.upstream_id for entry in taking] == ["i-2"], taking
-
-
-@then("every host knows configuration {version:d} and {count:d} upstreams")
-def then_all_know(context, version, count):
-    check_version(context.fleet.hosts, version)
-    known = {len(list(host.directory.entries())) for host in context.fleet.hosts}
-    assert known == {count}, known
-
-
 @then("that host still runs configuration {version:d}")
 def then_still(context, version):
     check_version([context.ahead], version)
--- /dev/null
+++ b/tests/steps/starts_steps.py
@@ -0,0 +1,80 @@
+"""Steps for hosts that start, one or all."""
+
+import random
+
+from behave import given, then, when
+
+from testbed.steeringparts import VirtualScheduler, upstream
+from tests.sharingfleet import ZONES, check_version, config, start_host
+from tests.steeringfakes import Fleet
+
+STORE_READS_PER_S = 2000
+
+
+@given(
+    "{hosts:d} hosts in 3 zones that start within {within_s:g} seconds before a store "
+    "of {pages:d} pages"
+)
+def given_large_start(context, hosts, within_s, pages):
+    random.seed(1)
+    context.scheduler = VirtualScheduler()
+    context.fleet = Fleet(context.scheduler)
+    store = context.fleet.store
+    store.pages = pages
+    store.reads_per_s = STORE_READS_PER_S
+    store.put_config(config(1))
+    store.put_upstreams(1000.0, upstream("1"), upstream("2", zone="b"))
+    seeds = tuple(
+        context.fleet.settings(number, "a").control_listen for number in (1, 2, 3)
+    )
+    order = random.sample(range(1, hosts + 1), hosts)
+    for number in order:
+        context.scheduler.run_for(within_s / hosts)
+        context.fleet.add(ZONES[number % 3], seeds, number)
+
+
+@when("the seed loses its power")
+def when_seed_dies(context):
+    context.fleet.hosts[0].kill()
+
+
+@when("the seed is cut off from the store and all hosts")
+def when_seed_cut(context):
+    seed = context.fleet.hosts[0]
+    context.fleet.store.silent_for = {seed.name}
+    for other in context.fleet.hosts[1:]:
+        context.fleet.cut(seed, other)
+
+
+@when("the seed sleeps")
+def when_seed_sleeps(context):
+    context.fleet.hosts[0].sleep()
+
+
+@when("the seed wakes")
+def when_seed_wakes(context):
+    context.fleet.hosts[0].wake()
+
+
+@when("a host that reaches the seed starts and {duration_s:g} seconds pass")
+def when_start_near_seed(context, duration_s):
+    start_host(context, "b", duration_s)
+
+
+@then("the new host has made {count:d} calls to the store")
+def then_newcomer_calls(context, count):
+    calls = context.fleet.store.calls_by[context.newcomer.name]
+    assert calls == count, calls
+
+
+@then("the new host gives no new flows to the draining upstream")
+def then_newcomer_drained(context):
+    taking = context.newcomer.directory.of_service("stock")
+    assert [entry.upstream.upstream_id for entry in taking] == ["i-2"], taking
+
+
+@then("every host knows configuration {version:d} and {count:d} upstreams")
+def then_all_know(context, version, count):
+    check_version(context.fleet.hosts, version)
+    known = {len(list(host.directory.entries())) for host in context.fleet.hosts}
+    assert known == {count}, known
