--- a/tests/readsharing.feature
+++ b/tests/readsharing.feature
@@ -166,3 +166,16 @@
     And the store refuses all hosts but the readers
     And the followers read the listing at once, three times
     Then no follower says that it has lost the store
+
+  Scenario: A listing is as old as the question for it
+    # Pattern: the store is slow, or a host stood still before it read the answer. Guards
+    # against old entries that count as new.
+    Given a host before a store that answers after 0.8 seconds
+    When 1.7 seconds of sharing pass
+    Then its listing is at least 0.8 seconds old
+
+  Scenario: A watch that ends without a change confirms the configuration up to its end
+    # Guards against hosts whose configuration seems old, though nothing has changed: they
+    # would not refuse what has no route, and give newcomers nothing.
+    When 20 seconds of sharing pass
+    Then no host's configuration is older than 5.5 seconds in the next 10 seconds
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -57,6 +57,7 @@
         # Calls that the store takes in a second, and the pages of a listing.
         self.reads_per_s = None
         self.pages = 1
+        self.answer_s = ANSWER_S
         self._taken = deque()
         # The links of the hosts, towards the store and towards each other.
         self.link_bytes_per_s = None
@@ -159,7 +160,8 @@
             self._scheduler.call_later(ANSWER_S, lambda: done(refusal))
             return
         if failure is None:
-            self._scheduler.call_later(ANSWER_S + transfer_s, lambda: done(make()))
+            wait_s = self._state.answer_s + transfer_s
+            self._scheduler.call_later(wait_s, lambda: done(make()))
         else:
             wait_s = ANSWER_S if self._name in self._state.refuses else timeout_s
             self._scheduler.call_later(wait_s, lambda: done(failure))
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -280,3 +280,28 @@
     ]
     assert len(answers) == 9, len(answers)
     assert not [answer for answer in answers if answer.has_lost_store]
+
+
+@given("a host before a store that answers after {answer_s:g} seconds")
+def given_slow_store(context, answer_s):
+    make_fleet(context, is_silent=False, hosts=1)
+    context.fleet.store.answer_s = answer_s
+
+
+@then("its listing is at least {age_s:g} seconds old")
+def then_listing_old(context, age_s):
+    (host,) = context.fleet.hosts
+    found_s = host.directory.age_s(context.scheduler.now_s())
+    assert found_s >= age_s, found_s
+
+
+@then(
+    "no host's configuration is older than {limit_s:g} seconds in the next {s:d} "
+    "seconds"
+)
+def then_config_recent(context, limit_s, s):
+    for _ in range(10 * s):
+        context.scheduler.run_for(0.1)
+        now_s = context.scheduler.now_s()
+        ages_s = {host.name: host.view.age_s(now_s) for host in context.fleet.hosts}
+        assert max(ages_s.values()) <= limit_s, ages_s
