--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -157,10 +157,6 @@
         return data
 
 
-def encode_snapshot(snapshot: Snapshot) -> bytes:
-    return SnapshotEncoder().encode(snapshot)
-
-
 def decode_snapshot(data: bytes) -> Snapshot:
     """Read a snapshot; ``MessageError`` if it is none."""
     import msgpack
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -25,10 +25,10 @@
 from wisteriatiller.steering.sharedstate import SharedState
 from wisteriatiller.steering.sharing import ReadSharing
 from wisteriatiller.steering.snapshots import (
+    SnapshotEncoder,
     decode_request,
     decode_snapshot,
     encode_request,
-    encode_snapshot,
 )
 from wisteriatiller.steering.zoneevidence import ZoneEvidence, ZoneObserver
 from wisteriatiller.steering.zonesums import Shares
@@ -227,7 +227,7 @@
         def answer():
             received = decode_request(encode_request(request))
             snapshot = host.sharing.snapshot(received)
-            data = encode_snapshot(snapshot)
+            data = host.snapshots.encode(snapshot)
             wait_s = host.transfer_s(len(data), fleet)
             if wait_s > PEER_TIMEOUT_S:
                 fleet.scheduler.call_later(PEER_TIMEOUT_S, lambda: done(None))
@@ -260,6 +260,7 @@
             ConfigFollower(*parts, self.view, self.observer),
             DirectoryFollower(*parts, self.directory, self.observer),
         )
+        self.snapshots = SnapshotEncoder()
         self.observations = Observations()
         self.shares = Shares()
         self.zone = ZoneEvidence(
