--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -61,6 +61,7 @@
             print(f"feature={feature.name} timeout_s={FEATURE_TIMEOUT_S}", flush=True)
             return 0, 1
         passed, failed = count_scenarios(report)
+        print_failed_steps(report)
     if result.returncode != 0:
         failed = max(failed, 1)
         print(result.stdout[-8000:], result.stderr[-2000:], sep="\n", flush=True)
@@ -70,6 +71,19 @@
     return passed, failed
 
 
+def print_failed_steps(report: Path) -> None:
+    """Say what each failed step saw; the progress format leaves it out."""
+    features = json.loads(report.read_text() or "[]") if report.exists() else []
+    elements = [element for one in features for element in one.get("elements", ())]
+    for element in elements:
+        for step in element.get("steps", ()):
+            result = step.get("result", {})
+            if result.get("status") in ("failed", "error"):
+                message = "\n".join(result.get("error_message", ()))
+                print(f"scenario={element['name']!r} step={step['name']!r}", flush=True)
+                print(message[-4000:], flush=True)
+
+
 def count_scenarios(report: Path) -> tuple[int, int]:
     features = json.loads(report.read_text() or "[]") if report.exists() else []
     statuses = [
