--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -132,27 +132,28 @@
     context.world.steer(packet, after_s=0.1)
 
 
+def repeat_of_first(context, after_s):
+    context.world.now_s += after_s
+    return next_of_first(context)
+
+
 @then("the same packet goes on when it is repeated")
 def then_repeat_goes_on(context):
-    context.world.now_s += 0.2
-    decision = next_of_first(context)
+    decision = repeat_of_first(context, 0.2)
     assert isinstance(decision, Forward), decision
 
 
 @then("it is refused when it is repeated twice more")
 def then_twice_more(context):
-    context.world.now_s += 0.4
-    decision = next_of_first(context)
+    decision = repeat_of_first(context, 0.4)
     assert isinstance(decision, Forward), decision
-    context.world.now_s += 0.8
-    decision = next_of_first(context)
+    decision = repeat_of_first(context, 0.8)
     assert isinstance(decision, Refuse), decision
 
 
 @then("the same packet is refused when it is repeated")
 def then_repeat_refused(context):
-    context.world.now_s += 0.2
-    decision = next_of_first(context)
+    decision = repeat_of_first(context, 0.2)
     assert isinstance(decision, Refuse), decision
 
 
