--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -31,8 +31,6 @@
 UPSTREAM_PREFIX = "servers/"
 # Base64 and JSON around a value, or a page of many of them.
 BODY_FACTOR = 4
-# How much later than its own limit the store may end a wait.
-WATCH_SLACK_S = 0.7
 
 
 class PlatformStore(StoreReader):
@@ -63,7 +61,7 @@
         self._get(
             self._config_connection,
             f"/kv-watch?prefix={CONFIG_KEY}&after={after}&wait_ms={wait_ms}",
-            wait_s + WATCH_SLACK_S,
+            wait_s + self._settings.watch_slack_s,
             lambda result: done(_watch_answer(result)),
         )
 
--- a/src/wisteriatiller/steering/settings.py
+++ b/src/wisteriatiller/steering/settings.py
@@ -11,7 +11,8 @@
     ``return_port`` is the port at which clients take packets. ``seeds`` are control
     addresses of hosts that may be stale. Of new flows, an upstream in another zone
     takes ``remote_weight`` of what a local one takes. A view of the configuration is
-    good for a refusal until it is ``config_trusted_s`` old.
+    good for a refusal until it is ``config_trusted_s`` old. The store may end a watch
+    up to ``watch_slack_s`` after ``watch_wait_s``.
     """
 
     host_id: HostId
@@ -31,6 +32,7 @@
     listing_interval_s: float = 0.7
     share_interval_s: float = 0.6
     watch_wait_s: float = 4.0
+    watch_slack_s: float = 0.7
     store_timeout_s: float = 1.0
     store_retry_s: float = 0.25
     peer_timeout_s: float = 0.6
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -1,9 +1,7 @@
 """A store and hosts that share its reads, on virtual time."""
 
-from collections import Counter, deque
-
 from testbed.steeringparts import steering_settings
-from tests.steeringworld import listing
+from tests.fakestore import FakeStore, FakeStoreState
 from wisteriatiller.steering.directory import UpstreamDirectory
 from wisteriatiller.steering.followers import (
     ConfigFollower,
@@ -12,15 +10,6 @@
 )
 from wisteriatiller.steering.observations import Observations
 from wisteriatiller.steering.peers import Peer, PeerLink, PeerRegistry
-from wisteriatiller.steering.ports import (
-    ConfigMissing,
-    ConfigRead,
-    ConfigUnchanged,
-    HistoryLost,
-    StoreFailure,
-    StoreFailureReason,
-    StoreReader,
-)
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.sharedstate import SharedState
 from wisteriatiller.steering.sharing import ReadSharing
@@ -33,145 +22,8 @@
 from wisteriatiller.steering.zoneevidence import ZoneEvidence, ZoneObserver
 from wisteriatiller.steering.zonesums import Shares
 
-ANSWER_S = 0.004
-STORE_TIMEOUT_S = 1.0
 PEER_DELAY_S = 0.003
 PEER_TIMEOUT_S = 0.6
-# A route as the store writes it: JSON, in base64, in JSON.
-STORE_BYTES_PER_ROUTE = 260
-
-
-class FakeStoreState:
-    """What the store holds, and who reaches it."""
-
-    def __init__(self):
-        self.revision = 1
-        self.config = None
-        self.config_revision = 0
-        self.upstreams = ()
-        self.silent_for = set()
-        self.refuses = set()
-        self.history_lost = False
-        self.calls = 0
-        self.calls_by = Counter()
-        # Calls that the store takes in a second, and the pages of a listing.
-        self.reads_per_s = None
-        self.pages = 1
-        self.answer_s = ANSWER_S
-        self._taken = deque()
-        # The links of the hosts, towards the store and towards each other.
-        self.link_bytes_per_s = None
-        # Reads that need not be current show what was there this long ago.
-        self.stale_s = 0.0
-        self._listings = []
-
-    def take_calls(self, name, calls, now_s):
-        """Count calls; False if they are more than the store takes in a second."""
-        self.calls += calls
-        self.calls_by[name] += calls
-        if self.reads_per_s is None:
-            return True
-        while self._taken and self._taken[0] <= now_s - 1.0:
-            self._taken.popleft()
-        if len(self._taken) + calls > self.reads_per_s:
-            return False
-        self._taken.extend([now_s] * calls)
-        return True
-
-    def put_config(self, config):
-        self.revision += 1
-        self.config = config
-        self.config_revision = self.revision
-
-    def put_upstreams(self, now_s, *upstreams):
-        self.revision += 1
-        self.upstreams = upstreams
-        self._listings.append((now_s, listing(self.revision, *upstreams)))
-
-    def listing(self, is_current, now_s):
-        if is_current or not self.stale_s:
-            return listing(self.revision, *self.upstreams)
-        seen_s = now_s - self.stale_s
-        old = [made for put_at_s, made in self._listings if put_at_s <= seen_s]
-        return old[-1] if old else self._listings[0][1]
-
-
-class FakeStore(StoreReader):
-    """One host's access to the state."""
-
-    def __init__(self, scheduler, state, name):
-        self._scheduler = scheduler
-        self._state = state
-        self._name = name
-
-    def read_config(self, done):
-        self._answer(done, self._config, STORE_TIMEOUT_S, self._config_transfer_s())
-
-    def watch_config(self, after, wait_s, done):
-        self._state.take_calls(self._name, 1, self._scheduler.now_s())
-        end_s = self._scheduler.now_s() + wait_s
-        self._poll(after, end_s, done)
-
-    def list_upstreams(self, is_current, done):
-        def make():
-            return self._state.listing(is_current, self._scheduler.now_s())
-
-        pages = self._state.pages
-        self._answer(done, make, STORE_TIMEOUT_S, ANSWER_S * (pages - 1), pages)
-
-    def move_to(self, address):
-        raise NotImplementedError
-
-    def _poll(self, after, end_s, done):
-        failure = self._failure()
-        if failure is not None and self._name in self._state.refuses:
-            self._scheduler.call_later(ANSWER_S, lambda: done(failure))
-        elif failure is not None:
-            wait_s = max(0.0, end_s - self._scheduler.now_s()) + STORE_TIMEOUT_S
-            self._scheduler.call_later(wait_s, lambda: done(failure))
-        elif self._state.history_lost:
-            self._scheduler.call_later(ANSWER_S, lambda: done(HistoryLost()))
-        elif self._state.config_revision > after:
-            wait_s = ANSWER_S + self._config_transfer_s()
-            self._scheduler.call_later(wait_s, lambda: done(self._config()))
-        elif self._scheduler.now_s() >= end_s:
-            done(ConfigUnchanged(self._state.revision))
-        else:
-            self._scheduler.call_later(0.02, lambda: self._poll(after, end_s, done))
-
-    def _config(self):
-        if self._state.config is None:
-            return ConfigMissing(self._state.revision)
-        return ConfigRead(self._state.revision, self._state.config)
-
-    def _config_transfer_s(self):
-        """How long the host's link takes for the configuration."""
-        config = self._state.config
-        if config is None or self._state.link_bytes_per_s is None:
-            return 0.0
-        return len(config.routes) * STORE_BYTES_PER_ROUTE / self._state.link_bytes_per_s
-
-    def _answer(self, done, make, timeout_s, transfer_s=0.0, calls=1):
-        now_s = self._scheduler.now_s()
-        is_taken = self._state.take_calls(self._name, calls, now_s)
-        failure = self._failure()
-        if failure is None and not is_taken:
-            refusal = StoreFailure(StoreFailureReason.REFUSED, "status 429")
-            self._scheduler.call_later(ANSWER_S, lambda: done(refusal))
-            return
-        if failure is None:
-            wait_s = self._state.answer_s + transfer_s
-            self._scheduler.call_later(wait_s, lambda: done(make()))
-        else:
-            wait_s = ANSWER_S if self._name in self._state.refuses else timeout_s
-            self._scheduler.call_later(wait_s, lambda: done(failure))
-
-    def _failure(self):
-        if self._name in self._state.refuses:
-            return StoreFailure(StoreFailureReason.REFUSED, "status 503")
-        if self._name in self._state.silent_for:
-            return StoreFailure(StoreFailureReason.UNREACHABLE, "timeout")
-        return None
 
 
 class QuietObserver(FollowerObserver):
@@ -253,9 +105,9 @@
         self.state = SharedState(self.view, self.directory, PeerRegistry(own))
         for seed in settings.seeds:
             self.state.registry.add(Peer(seed, ""), fleet.scheduler.now_s())
-        store = FakeStore(fleet.scheduler, fleet.store, self.name)
+        self.store = FakeStore(fleet.scheduler, fleet.store, settings)
         self.observer = QuietObserver(fleet.scheduler)
-        parts = (self.settings, fleet.scheduler, store)
+        parts = (self.settings, fleet.scheduler, self.store)
         self.followers = (
             ConfigFollower(*parts, self.view, self.observer),
             DirectoryFollower(*parts, self.directory, self.observer),
