Log single failed calls, named versions and how late a configuration may be

Now store_call_failed has the call, the reason and the wait, config_named says whether the read has to wait, and config_applied has unconfirmed_ms, an upper limit of the delay, with a histogram. Decisions are as before.

--- a/src/wisteriatiller/steering/followers.py
+++ b/src/wisteriatiller/steering/followers.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from wisteriatiller.ids import NO_REVISION, Revision
+from wisteriatiller.ids import NO_REVISION, Address, Revision
 from wisteriatiller.network.loop import Scheduler, Timer
 
 from .directory import Change, UpstreamDirectory
@@ -18,7 +18,7 @@
     StoreFailure,
     StoreReader,
 )
-from .routes import ConfigView
+from .routes import ConfigVersion, ConfigView
 from .settings import SteeringSettings
 from .upstreams import Listing
 
@@ -42,7 +42,21 @@
     """Learns what the followers take over, and when the store is lost."""
 
     @abstractmethod
-    def config_applied(self, view: ConfigView, source: str) -> None: ...
+    def config_applied(
+        self, view: ConfigView, source: str, unconfirmed_s: float | None
+    ) -> None:
+        """Take note of a new version; it may be in force this late, and not later.
+
+        ``unconfirmed_s`` is the time since the version before it was known to be the
+        newest one; None if there was none.
+        """
+
+    @abstractmethod
+    def config_named(self, version: ConfigVersion, peer: Address, waits: bool) -> None:
+        """Take note of a newer version that a peer names without giving it.
+
+        ``waits`` says that the read of it has to wait for another call.
+        """
 
     @abstractmethod
     def config_invalid(self, answer: ConfigInvalid) -> None: ...
@@ -51,7 +65,9 @@
     def directory_applied(self, changes: list[Change], source: str) -> None: ...
 
     @abstractmethod
-    def store_failed(self, call: str, failure: StoreFailure, failures: int) -> None: ...
+    def store_failed(
+        self, call: str, failure: StoreFailure, failures: int, waited_s: float
+    ) -> None: ...
 
     @abstractmethod
     def store_answered(self, call: str, waited_s: float) -> None: ...
@@ -111,6 +127,10 @@
     @abstractmethod
     def _ask(self) -> None: ...
 
+    def _report_failure(self, call: str, failure: StoreFailure) -> None:
+        waited_s = self._scheduler.now_s() - self._asked_at_s
+        self._observer.store_failed(call, failure, self._retry.failures, waited_s)
+
 
 class ConfigFollower(_StoreFollower):
     """Reads the configuration once, then watches it."""
@@ -135,8 +155,9 @@
             if not self._is_asking:
                 self._ask()
 
-    def fetch(self) -> None:
+    def fetch(self, version: ConfigVersion, peer: Address) -> None:
         """Read once, for a newer version that a peer names without giving it."""
+        self._observer.config_named(version, peer, waits=self._is_asking)
         if not self._is_asking:
             self._is_asking = True
             self._read()
@@ -167,7 +188,7 @@
         pause_s = 0.0
         if isinstance(answer, StoreFailure):
             pause_s = self._retry.failed()
-            self._observer.store_failed(call, answer, self._retry.failures)
+            self._report_failure(call, answer)
         else:
             self._retry.succeeded()
             waited_s = self._scheduler.now_s() - self._asked_at_s
@@ -200,11 +221,12 @@
             self._revision = NO_REVISION
             return
         self._revision = answer.revision
+        unconfirmed_s = self._view.age_s(self._scheduler.now_s())
         self._view.confirm(certain_at_s)
         if isinstance(answer, ConfigInvalid):
             self._observer.config_invalid(answer)
         elif isinstance(answer, ConfigRead) and self._view.apply(answer.config):
-            self._observer.config_applied(self._view, "store")
+            self._observer.config_applied(self._view, "store", unconfirmed_s)
 
 
 class DirectoryFollower(_StoreFollower):
@@ -270,7 +292,7 @@
             pause_s = self._retry.failed()
             if self._is_patient:
                 pause_s = _jittered(PATIENT_RETRY_S)
-            self._observer.store_failed("list_upstreams", answer, self._retry.failures)
+            self._report_failure("list_upstreams", answer)
         else:
             self._retry.succeeded()
             # What the answer says may be as old as the question.
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -51,10 +51,13 @@
         self._steering = steering
         self._learned = learned
 
-    def config_applied(self, view, source):
-        self._reporter.config_applied(view, source)
+    def config_applied(self, view, source, unconfirmed_s):
+        self._reporter.config_applied(view, source, unconfirmed_s)
         self._learned()
 
+    def config_named(self, version, peer, waits):
+        self._reporter.config_named(version, peer, waits)
+
     def directory_applied(self, changes, source):
         self._steering.directory_changed(changes)
         self._reporter.directory_applied(changes, source)
@@ -63,8 +66,8 @@
     def config_invalid(self, answer):
         self._reporter.config_invalid(answer)
 
-    def store_failed(self, call, failure, failures):
-        self._reporter.store_failed(call, failure, failures)
+    def store_failed(self, call, failure, failures, waited_s):
+        self._reporter.store_failed(call, failure, failures, waited_s)
 
     def store_answered(self, call, waited_s):
         self._reporter.store_answered(call, waited_s)
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -1,6 +1,6 @@
 """Turns what steering and the followers report into log lines and counters."""
 
-from wisteriatiller.ids import UpstreamId
+from wisteriatiller.ids import Address, UpstreamId
 from wisteriatiller.telemetry import Counters, EventLog
 
 from .directory import Change, DirectoryEntry, UpstreamDirectory
@@ -8,7 +8,7 @@
 from .followers import LOST_FAILURES, FollowerObserver
 from .packets import Discard, Packet, Refuse, flow_text
 from .ports import ConfigInvalid, StoreFailure
-from .routes import ConfigView, Route
+from .routes import ConfigVersion, ConfigView, Route
 from .sharing import Source
 from .steering import SteeringObserver
 from .zoneevidence import ZoneObserver
@@ -104,13 +104,28 @@
     def tag_unknown(self) -> None:
         self.on_unknown_tag()
 
-    def config_applied(self, view: ConfigView, source: str) -> None:
+    def config_applied(
+        self, view: ConfigView, source: str, unconfirmed_s: float | None
+    ) -> None:
         self._counters.count("config_applied")
+        if unconfirmed_s is not None:
+            self._counters.observe_ms("config_unconfirmed", 1000.0 * unconfirmed_s)
         self._log.event(
             "config_applied",
             config_version=view.version,
             routes=len(view.config.routes),
             source=source,
+            unconfirmed_ms=_milliseconds(unconfirmed_s),
+        )
+
+    def config_named(self, version: ConfigVersion, peer: Address, waits: bool) -> None:
+        self._counters.count("config_named")
+        self._log.event(
+            "config_named",
+            config_version=version,
+            source=f"peer {peer}",
+            waits=str(waits).lower(),
+            config_known=self._view.version,
         )
 
     def config_invalid(self, answer: ConfigInvalid) -> None:
@@ -147,17 +162,22 @@
                 source=source,
             )
 
-    def store_failed(self, call: str, failure: StoreFailure, failures: int) -> None:
+    def store_failed(
+        self, call: str, failure: StoreFailure, failures: int, waited_s: float
+    ) -> None:
         self._counters.count("store_failures", failure.reason.value)
+        if failures > LOST_FAILURES:
+            return
         if failures == LOST_FAILURES:
             self._lost_calls.add(call)
-            self._log.event(
-                "store_lost",
-                call=call,
-                reason=failure.reason.value,
-                detail=failure.detail,
-                **self._beliefs(),
-            )
+        self._log.event(
+            "store_lost" if failures == LOST_FAILURES else "store_call_failed",
+            call=call,
+            reason=failure.reason.value,
+            detail=failure.detail,
+            waited_ms=_milliseconds(waited_s),
+            **self._beliefs(),
+        )
 
     def store_answered(self, call: str, waited_s: float) -> None:
         self._counters.observe_ms(f"store_{call}", 1000.0 * waited_s)
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -245,9 +245,8 @@
 
     def _learn(self, peer: Peer, snapshot: Snapshot, steady_s: float | None) -> None:
         self._learn_peers(snapshot)
-        source = f"peer {peer.address}"
-        self._learn_config(snapshot, source)
-        self._learn_listing(snapshot, steady_s, source)
+        self._learn_config(peer, snapshot)
+        self._learn_listing(peer, snapshot, steady_s)
 
     def _learn_peers(self, snapshot: Snapshot) -> None:
         self._registry.add_all(
@@ -255,15 +254,16 @@
             self._scheduler.now_s(),
         )
 
-    def _learn_config(self, snapshot: Snapshot, source: str) -> None:
+    def _learn_config(self, peer: Peer, snapshot: Snapshot) -> None:
         view = self._state.view
         age_s = snapshot.config_age_s
         if age_s is None or age_s > MAX_HELP_AGE_S:
             return
+        unconfirmed_s = view.age_s(self._scheduler.now_s())
         if snapshot.config is not None and view.apply(snapshot.config):
-            self._observer.config_applied(view, source)
+            self._observer.config_applied(view, f"peer {peer.address}", unconfirmed_s)
         elif snapshot.config_version > view.version:
-            self._config_follower.fetch()
+            self._config_follower.fetch(snapshot.config_version, peer.address)
         # The age is of the moment when the peer answered, after it was asked.
         confirmed_at_s = self._asked_at_s - age_s
         is_newer = confirmed_at_s > (view.confirmed_at_s or float("-inf"))
@@ -271,7 +271,7 @@
             view.confirm(confirmed_at_s)
 
     def _learn_listing(
-        self, snapshot: Snapshot, steady_s: float | None, source: str
+        self, peer: Peer, snapshot: Snapshot, steady_s: float | None
     ) -> None:
         directory = self._state.directory
         age_s = snapshot.listing_age_s
@@ -288,7 +288,7 @@
         elif directory.revision == snapshot.directory_revision:
             changes = directory.confirm(now_s, steady_s, age_s)
         if changes:
-            self._observer.directory_applied(changes, source)
+            self._observer.directory_applied(changes, f"peer {peer.address}")
 
 
 def _is_enough(snapshot: Snapshot) -> bool:
--- a/tests/hostprocess.feature
+++ b/tests/hostprocess.feature
@@ -30,6 +30,7 @@
     When the host is ready
     And the stand-in store falls silent for 3 seconds
     Then an opening packet reaches the upstream with its number and a tag
+    And the log has a line store_call_failed
     And the log has a line store_lost
 
   Scenario: A settings file that changes without a signal is read again
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -35,16 +35,19 @@
         self.failures = 0
         self.invalid = 0
 
-    def config_applied(self, view, source):
+    def config_applied(self, view, source, unconfirmed_s):
         self.applied[view.version] = (self._scheduler.now_s(), source)
 
+    def config_named(self, version, peer, waits):
+        pass
+
     def config_invalid(self, answer):
         self.invalid += 1
 
     def directory_applied(self, changes, source):
         pass
 
-    def store_failed(self, call, failure, failures):
+    def store_failed(self, call, failure, failures, waited_s):
         self.failures += 1
 
     def store_answered(self, call, waited_s):
