Show that a watch without an answer hides a change of the configuration

The second hypothesis, a watch whose answer is too large and that is repeated, does not break the bound: after two failures the reader counts as lost and others read.

--- /dev/null
+++ b/tests/steps/configbound_steps.py
@@ -0,0 +1,53 @@
+"""Steps for the bound of the configuration."""
+
+from behave import given, then, when
+
+from tests.configdays import Day
+from tests.steeringworld import large_config
+from wisteriatiller.steering.sharing import Source
+
+
+@given("a watch that brings {routes:d} routes at most")
+def given_watch_limit(context, routes):
+    context.fleet.store.max_watch_routes = routes
+
+
+@given("a random day of seed {seed:d} with the faults {kinds}")
+def given_day(context, seed, kinds):
+    context.day = Day(seed, kinds.split(","))
+
+
+@when("the connections of all hosts to the store fall silent")
+def when_stalled(context):
+    for host in context.fleet.hosts:
+        host.store.stall()
+
+
+@when("the readers get no answer about the configuration")
+def when_config_silent(context):
+    reading = (h for h in context.fleet.hosts if h.sharing.source is Source.STORE)
+    context.lost = {host.name for host in reading}
+    context.fleet.store.config_silent_for = context.lost
+
+
+@when(
+    "configurations {first:d} to {last:d} with {routes:d} routes are put at once and "
+    "{duration_s:g} seconds pass"
+)
+def when_put_many(context, first, last, routes, duration_s):
+    for version in range(first, last + 1):
+        context.fleet.store.put_config(large_config(version, routes))
+    context.scheduler.run_for(duration_s)
+
+
+@when("the stopped hosts start again and {duration_s:g} seconds pass")
+def when_start_again(context, duration_s):
+    for host in [host for host in context.fleet.hosts if host.is_dead]:
+        context.fleet.replace(host)
+    context.scheduler.run_for(duration_s)
+
+
+@then("every host that nothing has disturbed for 4 seconds keeps the bound")
+def then_bound_kept(context):
+    broken = context.day.play()
+    assert not broken, (broken[:5], context.day.faults)
