Ask a host that has nothing fresh again after a second

Cause: a host that answers, but follows another one itself, was left alone for 3 s like one that does not answer. When a reader stops, the next host often is asked before it reads; the host that asked then read the store for 3 s beside it.

--- a/src/wisteriatiller/steering/peers.py
+++ b/src/wisteriatiller/steering/peers.py
@@ -13,8 +13,10 @@
 MAX_ZONE_PEERS = 512
 MAX_OTHER_PEERS = 8
 FIRST_OTHER_PEERS = 4
-# A host that did not answer, or had nothing fresh, is left alone for this long.
-AVOIDED_S = 3.0
+# A host that did not answer is left alone for this long.
+SILENT_AVOIDED_S = 3.0
+# One that answers may read the store by the next time.
+DECLINED_AVOIDED_S = 1.0
 # A host that nobody has heard of for this long is forgotten.
 FORGOTTEN_S = 60.0
 
@@ -70,9 +72,10 @@
             if peer not in self._heard_at_s:
                 self.add(peer, now_s)
 
-    def avoid(self, address: Address, now_s: float) -> None:
+    def avoid(self, address: Address, now_s: float, is_silent: bool) -> None:
         """Note that a host has nothing to give for the moment."""
-        self._avoided_until_s[address] = now_s + AVOIDED_S
+        avoided_s = SILENT_AVOIDED_S if is_silent else DECLINED_AVOIDED_S
+        self._avoided_until_s[address] = now_s + avoided_s
 
     def recommend(self, peer: Peer, now_s: float) -> None:
         """Note that another host gets from this one what it needs."""
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -182,7 +182,7 @@
     def _take_from_reader(self, peer: Peer, snapshot: Snapshot | None) -> None:
         now_s = self._scheduler.now_s()
         if snapshot is None or not snapshot.is_fresh:
-            self._registry.avoid(peer.address, now_s)
+            self._registry.avoid(peer.address, now_s, is_silent=snapshot is None)
             self._declined.append(f"{peer.address} {_why_declined(snapshot)}")
             if snapshot is not None:
                 self._learn_why(snapshot)
@@ -214,7 +214,7 @@
         if snapshot is None:
             # A host that starts may know nobody else.
             if self._state.is_complete():
-                self._registry.avoid(peer.address, now_s)
+                self._registry.avoid(peer.address, now_s, is_silent=True)
             return
         self._registry.add(peer, now_s)
         # What keeps this host from the store may keep upstreams near it from it too,
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -172,7 +172,7 @@
     (reader,) = readers(context)
     now_s = context.scheduler.now_s()
     for host in context.fleet.hosts[3::4]:
-        host.state.registry.avoid(reader.settings.control_listen, now_s)
+        host.state.registry.avoid(reader.settings.control_listen, now_s, is_silent=True)
     context.scheduler.run_for(duration_s)
 
 
