Let a host be fresh for others only if its configuration is, too

Cause: freshness was the age of the listing alone, and the listing has a connection of its own. A host whose calls for the configuration got no answer went on reading for its zone.

Change: a host is fresh if its configuration, too, was confirmed within the time of a watch. A follower that is sent away says both ages.

--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -105,7 +105,7 @@
         reporter.on_unknown_tag = directory_follower.hurry
         own = Peer(settings.control_listen or settings.ready_listen, settings.zone)
         self.registry = PeerRegistry(own)
-        self._shared = SharedState(self.config, self.directory, self.registry)
+        self._shared = SharedState(settings, self.config, self.directory, self.registry)
         self.sharing = ReadSharing(
             settings,
             loop,
--- a/src/wisteriatiller/steering/sharedstate.py
+++ b/src/wisteriatiller/steering/sharedstate.py
@@ -8,6 +8,7 @@
 from .observations import Report
 from .peers import Peer, PeerRegistry
 from .routes import ConfigView, RouteConfig
+from .settings import SteeringSettings
 from .snapshots import Snapshot, SnapshotRequest
 from .upstreams import ListingUpdate, ListingVersion, Tag
 
@@ -15,8 +16,8 @@
 MAX_LISTING_AGE_S = 1.3
 # A host that follows another one has a listing of up to this age, while all is well.
 MAX_FOLLOWED_LISTING_AGE_S = 2.0
-# A watch that has nothing to tell confirms the configuration only as it ends.
-MAX_FOLLOWED_CONFIG_AGE_S = 6.0
+# What a reader needs to take an answer of the store over.
+CONFIG_AGE_SLACK_S = 0.2
 # All hosts of a zone take a new configuration at once, through the link of one host.
 # A larger one is for each of them to read.
 MAX_SHARED_ROUTES = 400
@@ -26,8 +27,13 @@
     """The beliefs that hosts share, and the answer to a host that asks for them."""
 
     def __init__(
-        self, view: ConfigView, directory: UpstreamDirectory, registry: PeerRegistry
+        self,
+        settings: SteeringSettings,
+        view: ConfigView,
+        directory: UpstreamDirectory,
+        registry: PeerRegistry,
     ):
+        self._settings = settings
         self.view = view
         self.directory = directory
         self.registry = registry
@@ -42,7 +48,19 @@
 
     def is_followed(self, now_s: float) -> bool:
         """Whether this host's beliefs are of ages that following the store explains."""
-        return are_followed(self.view.age_s(now_s), self.directory.age_s(now_s))
+        return self.are_followed(self.view.age_s(now_s), self.directory.age_s(now_s))
+
+    def are_followed(
+        self, config_age_s: float | None, listing_age_s: float | None
+    ) -> bool:
+        """Whether the ages are those of a host that follows the store, maybe by others.
+
+        What is older comes from a host that was cut off, or that stood still.
+        """
+        is_config_recent = _is_within(config_age_s, self._settings.config_bound_s)
+        return is_config_recent and _is_within(
+            listing_age_s, MAX_FOLLOWED_LISTING_AGE_S
+        )
 
     def request(
         self, wants_peers: bool, wants_large_config: bool, report: Report = ()
@@ -70,16 +88,18 @@
         """What is newer than the request; its sender becomes known by asking.
 
         Only a host that reads the store is fresh. A chain of hosts would add the
-        interval of each to the time that a drain takes to be seen.
+        interval of each to the time that a drain takes to be seen. Configuration and
+        listing come through connections of their own, so both have to be young.
         """
         self.registry.add(Peer(request.address, request.zone), now_s)
         view, directory = self.view, self.directory
+        config_age_s = view.age_s(now_s)
         listing_age_s = directory.age_s(now_s)
         has_newer_listing = directory.revision > request.directory_revision
         return Snapshot(
             config_version=view.version,
             config=self._config_for(request),
-            config_age_s=view.age_s(now_s),
+            config_age_s=config_age_s,
             directory_revision=directory.revision,
             listing=(
                 self._update_since(request.listing_version)
@@ -88,13 +108,20 @@
             ),
             listing_age_s=listing_age_s,
             steady_s=directory.steady_s(now_s),
-            is_fresh=is_reading and _is_within(listing_age_s, MAX_LISTING_AGE_S),
+            is_fresh=is_reading and self._are_fresh(config_age_s, listing_age_s),
             has_lost_store=has_lost_store,
             follows=follows,
             peers=self._peers() if request.wants_peers else (),
             shares=shares,
         )
 
+    def _are_fresh(
+        self, config_age_s: float | None, listing_age_s: float | None
+    ) -> bool:
+        watch_s = self._settings.watch_wait_s + self._settings.watch_slack_s
+        is_config_fresh = _is_within(config_age_s, watch_s + CONFIG_AGE_SLACK_S)
+        return is_config_fresh and _is_within(listing_age_s, MAX_LISTING_AGE_S)
+
     def _update_since(self, version: ListingVersion) -> ListingUpdate:
         if self._updates_to != self.directory.version:
             self._updates.clear()
@@ -115,14 +142,5 @@
         return (self.registry.own, *self.registry.known())
 
 
-def are_followed(config_age_s: float | None, listing_age_s: float | None) -> bool:
-    """Whether the ages are those of a host that follows the store, maybe by others.
-
-    What is older comes from a host that was cut off, or that stood still.
-    """
-    is_config_recent = _is_within(config_age_s, MAX_FOLLOWED_CONFIG_AGE_S)
-    return is_config_recent and _is_within(listing_age_s, MAX_FOLLOWED_LISTING_AGE_S)
-
-
 def _is_within(age_s: float | None, limit_s: float) -> bool:
     return age_s is not None and age_s <= limit_s
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -16,7 +16,7 @@
 from .followers import ConfigFollower, DirectoryFollower, FollowerObserver
 from .peers import Peer, PeerLink
 from .settings import SteeringSettings
-from .sharedstate import SharedState, are_followed
+from .sharedstate import SharedState
 from .snapshots import Snapshot, SnapshotRequest
 from .zoneevidence import ZoneEvidence
 
@@ -119,7 +119,7 @@
         self._tick()
 
     def _take_first(self, peer: Peer, snapshot: Snapshot | None) -> None:
-        if snapshot is not None and _is_enough(snapshot):
+        if snapshot is not None and self._is_enough(snapshot):
             self._is_starting = False
             self._take_help(peer, snapshot)
             self._tick()
@@ -128,6 +128,13 @@
             self._learn_peers(snapshot)
         self._ask_first()
 
+    def _is_enough(self, snapshot: Snapshot) -> bool:
+        """Whether this host may begin to serve with what another one believes."""
+        has_all = snapshot.config is not None and snapshot.listing is not None
+        return has_all and self._state.are_followed(
+            snapshot.config_age_s, snapshot.listing_age_s
+        )
+
     def _stop_waiting(self) -> None:
         """Read the store, unless a peer has told what is in it."""
         if self._is_starting or not self._state.is_complete():
@@ -291,12 +298,6 @@
             self._observer.directory_applied(changes, f"peer {peer.address}")
 
 
-def _is_enough(snapshot: Snapshot) -> bool:
-    """Whether a host may begin to serve with what another one believes."""
-    has_all = snapshot.config is not None and snapshot.listing is not None
-    return has_all and are_followed(snapshot.config_age_s, snapshot.listing_age_s)
-
-
 def _why_declined(snapshot: Snapshot | None) -> str:
     if snapshot is None:
         return "does not answer"
@@ -304,4 +305,7 @@
         return "has lost the store"
     if snapshot.follows is not None:
         return f"follows {snapshot.follows}"
-    return f"is not fresh, listing_age_s={snapshot.listing_age_s}"
+    ages = (
+        f"config_age_s={snapshot.config_age_s} listing_age_s={snapshot.listing_age_s}"
+    )
+    return f"is not fresh, {ages}"
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -129,7 +129,7 @@
         own = Peer(self.settings.control_listen, self.settings.zone)
         self.view = ConfigView()
         self.directory = UpstreamDirectory()
-        self.state = SharedState(self.view, self.directory, PeerRegistry(own))
+        self.state = SharedState(settings, self.view, self.directory, PeerRegistry(own))
         for seed in settings.seeds:
             self.state.registry.add(Peer(seed, ""), fleet.scheduler.now_s())
         self.store = FakeStore(self._process, fleet.store, settings)
