--- a/tests/configdays.py
+++ b/tests/sharingdays.py
@@ -1,15 +1,15 @@
-"""Random days of a sharing fleet on virtual time, held to the bound of configurations.
+"""Random days of a sharing fleet on virtual time, held to the bounds of its reads.
 
 Examples::
 
-    python -m tests.configdays --seeds 1-200
-    python -m tests.configdays --seeds 17-17 --faults silent_connections,large
+    python -m tests.sharingdays --seeds 1-200
+    python -m tests.sharingdays --seeds 17-17 --faults silent_connections,large
 
 Hosts are killed, started again and frozen, cut off from the store and from each other,
 and refused; connections to the store fall silent for good, the store is away or forgets
-its history, and configurations change all the while, some of them large. A host that
-nothing has disturbed for a while must run what was put so long ago, whoever reads the
-store for it. Exit status 1 means that one did not.
+its history, and configurations, some of them large, and entries of upstreams change all
+the while. A host that nothing has disturbed for a while must know what was put so long
+ago, whoever reads the store for it. Exit status 1 means that one did not.
 """
 
 import argparse
@@ -29,6 +29,7 @@
 DAY_S = 40.0
 WARM_UP_S = 12.0
 CALM_S = 4.0
+# The same for the configuration and for the entries of upstreams.
 BOUND_S = 3.0
 # How much longer the bound is before the store has been calm for CALM_S.
 STRETCH_S = 12.0
@@ -39,7 +40,7 @@
 
 
 class Put(NamedTuple):
-    """A configuration that the store has acknowledged."""
+    """A version that the store has acknowledged, of the configuration or an entry."""
 
     at_s: float
     version: int
@@ -50,12 +51,14 @@
 
     def __init__(self, seed, kinds=None):
         self._rng = random.Random(seed)
+        self._entry_rng = random.Random(f"entries of {seed}")
         random.seed(seed)
         self.scheduler = VirtualScheduler()
         self.fleet = Fleet(self.scheduler)
         self._store = self.fleet.store
         self._store.max_watch_routes = MAX_WATCH_CONFIGS * LARGE_ROUTES
         self._puts = []
+        self._entry_puts = []
         self._disturbed_until_s = {}
         # When the store was last away, and when it was last disturbed at all.
         self._away_until_s = self._unstable_until_s = float("-inf")
@@ -67,7 +70,7 @@
             if not kinds or name in kinds
         }
         self._put()
-        self._store.put_upstreams(0.0, upstream("1"), upstream("2", zone="b"))
+        self._put_entry()
         seeds = tuple(
             self.fleet.settings(number, "a").control_listen
             for number in range(1, SEEDS + 1)
@@ -81,6 +84,7 @@
         self.scheduler.run_for(WARM_UP_S)
         self._end_s = self.now_s + DAY_S
         self._change()
+        self._change_entry()
         self._strike()
         while self.now_s < self._end_s:
             self.scheduler.run_for(CHECK_INTERVAL_S)
@@ -118,6 +122,23 @@
         self._store.put_config(made)
         self._puts.append(Put(self.now_s, version))
 
+    def _change_entry(self):
+        self._put_entry()
+        pause_s = self._entry_rng.uniform(0.3, 6.0)
+        self.scheduler.call_later(pause_s, self._change_entry)
+
+    def _put_entry(self):
+        """Change an entry; its slots tell the version."""
+        version = len(self._entry_puts) + 1
+        self._store.put_upstreams(
+            self.now_s, upstream("1", slots=version), upstream("2", zone="b")
+        )
+        if self.now_s >= self._unstable_until_s + CALM_S:
+            self._entry_puts.append(Put(self.now_s, version))
+        else:
+            # What the store takes while it is not calm is bound to no time.
+            self._entry_puts.append(Put(float("inf"), version))
+
     def _strike(self):
         name = self._rng.choice(list(self._kinds))
         self.faults.append((round(self.now_s, 2), name))
@@ -251,26 +272,36 @@
         self._unstable_until_s = max(self._unstable_until_s, self.now_s + length_s)
 
     def _check(self):
-        bound_s = BOUND_S
-        if self.now_s < self._unstable_until_s + CALM_S:
-            bound_s += STRETCH_S
         if self.now_s < self._away_until_s + CALM_S:
             return
-        due = [put for put in self._puts if put.at_s <= self.now_s - bound_s]
+        is_stable = self.now_s >= self._unstable_until_s + CALM_S
+        config_due = self._due(self._puts, 0.0 if is_stable else STRETCH_S)
+        entry_due = self._due(self._entry_puts, 0.0) if is_stable else None
         for host in self.fleet.hosts:
             calm_s = self.now_s - self._disturbed_until_s[host.name]
-            if due and not host.is_dead and calm_s >= CALM_S:
-                self._check_host(host, due[-1])
+            if not host.is_dead and calm_s >= CALM_S:
+                self._check_host(host, config_due, host.view.version)
+                self._check_host(host, entry_due, _entry_version(host))
 
-    def _check_host(self, host, due):
-        if host.view.version >= due.version:
+    def _due(self, puts, stretch_s):
+        """The newest version that has to be known by now."""
+        latest_s = self.now_s - BOUND_S - stretch_s
+        return next((put for put in reversed(puts) if put.at_s <= latest_s), None)
+
+    def _check_host(self, host, due, version):
+        if due is None or version >= due.version:
             return
-        key = (host.name, due.version)
+        key = (host.name, due)
         if key not in [found[:2] for found in self.broken]:
             late_s = self.now_s - due.at_s
             self.broken.append((*key, round(self.now_s, 2), round(late_s, 2)))
 
 
+def _entry_version(host):
+    entry = host.directory.get("i-1")
+    return 0 if entry is None else entry.upstream.slots
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seeds", default="1-100", help="FIRST-LAST")
@@ -284,9 +315,9 @@
         broken = day.play()
         found[bool(broken)] += 1
         if broken:
-            host, version, at_s, late_s = broken[0]
+            host, due, at_s, late_s = broken[0]
             print(
-                f"seed={seed} broken={len(broken)} first={host} version={version} "
+                f"seed={seed} broken={len(broken)} first={host} due={due} "
                 f"at_s={at_s} late_s={late_s} faults={day.faults}",
                 flush=True,
             )
--- a/tests/steps/configbound_steps.py
+++ b/tests/steps/configbound_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from tests.configdays import Day
+from tests.sharingdays import Day
 from tests.steeringworld import large_config
 from wisteriatiller.steering.sharing import Source
 
