Let no view older than the bound deny a route

What callers saw: a reset of a flow to a route that had been added, from a host whose view was up to 10 s old, where a change may take 3 s.

Cause: the age up to which a view is good for a refusal was a constant, and the bound of the deployment did not reach it. A refusal has to be true; an older view cannot know.

Change: the bound itself is the limit.

Before/after: the new scenario of steering.feature (3.5 s old, bound 3 s) was refused, and is silent now; 24 scenarios of steering pass.

--- a/src/wisteriatiller/steering/settings.py
+++ b/src/wisteriatiller/steering/settings.py
@@ -13,10 +13,9 @@
 
     ``return_port`` is the port at which clients take packets. ``seeds`` are control
     addresses of hosts that may be stale. Of new flows, an upstream in another zone
-    takes ``remote_weight`` of what a local one takes. A view of the configuration is
-    good for a refusal until it is ``config_trusted_s`` old. A configuration has to be
-    in force ``config_bound_s`` after the store took it. The store may end a watch up to
-    ``watch_slack_s`` after its wait.
+    takes ``remote_weight`` of what a local one takes. A configuration has to be in
+    force ``config_bound_s`` after the store took it, and an older view denies no route.
+    The store may end a watch up to ``watch_slack_s`` after its wait.
     """
 
     host_id: HostId
@@ -32,7 +31,6 @@
     max_value_bytes: int
     flow_idle_s: float = 60.0
     remote_weight: float = 0.02
-    config_trusted_s: float = 10.0
     listing_interval_s: float = 0.7
     share_interval_s: float = 0.6
     config_bound_s: float = 3.0
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -214,7 +214,7 @@
 
     def _without_route(self, now_s: float) -> Decision:
         age_s = self._config.age_s(now_s)
-        if age_s is None or age_s > self.settings.config_trusted_s:
+        if age_s is None or age_s > self.settings.config_bound_s:
             return Discard(DiscardReason.ROUTE_UNCERTAIN)
         return Refuse(RefusalReason.NO_ROUTE)
 
--- a/tests/steering.feature
+++ b/tests/steering.feature
@@ -49,6 +49,14 @@
     And a client opens a flow to an address without a route
     Then the packet is discarded because of route_uncertain
 
+  Scenario: A view that is older than the bound of the configuration denies no route
+    # Incident config-quimper. Guards against a reset of a flow to a route that was added
+    # longer ago than changes may take, on a host that has not heard of it. Bound: 3 s.
+    Given steering with 3 upstreams
+    When the configuration was last confirmed 3.5 seconds ago
+    And a client opens a flow to an address without a route
+    Then the packet is discarded because of route_uncertain
+
   Scenario: A service without upstreams refuses at once
     # Guards against new flows that are sent to a draining or gone upstream.
     Given steering with no upstream that takes new flows
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -202,7 +202,7 @@
     context.decision = context.world.steer(opening(1))
 
 
-@when("the configuration was last confirmed {age_s:d} seconds ago")
+@when("the configuration was last confirmed {age_s:g} seconds ago")
 def when_stale(context, age_s):
     context.world.now_s += age_s
 
