Let a watch end before the view is too old to be fresh

For a moment the view was 2.3 s old, more than a fresh one may be since the last change but one, and the followers left for the store.

Change: a watch waits only until the view is as old as a whole watch makes it.

The soak changes the routes within a second after it has let connections fall silent, so that a lost watch has something to hide.

--- a/src/wisteriatiller/steering/followers.py
+++ b/src/wisteriatiller/steering/followers.py
@@ -31,6 +31,7 @@
 # A host that has just begun to read may find another one that reads for it, and then
 # needs no watch.
 FIRST_WATCH_PAUSE_S = 0.8
+MIN_WATCH_WAIT_S = 0.4
 # Stale reads cost a tenth, but may be many seconds behind. The first listing of a host
 # and every second one are current, so that a drain is seen within two intervals.
 CURRENT_LISTING_EACH = 2
@@ -146,6 +147,8 @@
         super().__init__(settings, scheduler, store, observer)
         self._view = view
         self._revision: Revision = NO_REVISION
+        # How long the watch waits that was asked last.
+        self._wait_s = 0.0
 
     def resume(self) -> None:
         """Read now, then watch, until ``pause`` is called."""
@@ -176,10 +179,13 @@
         self._store.read_config(lambda answer: self._take("read_config", answer))
 
     def _watch(self) -> None:
+        """Wait until the view is as old as the wait of a watch allows."""
         self._asked_at_s = self._scheduler.now_s()
+        age_s = self._view.age_s(self._asked_at_s) or 0.0
+        self._wait_s = max(self._settings.watch_wait_s - age_s, MIN_WATCH_WAIT_S)
         self._store.watch_config(
             self._revision,
-            self._settings.watch_wait_s,
+            self._wait_s,
             lambda answer: self._take("watch_config", answer),
         )
 
@@ -192,7 +198,7 @@
             self._report_failure(call, answer)
             # Whatever kept a watch from being answered, a read tells the newest.
             self._revision = NO_REVISION
-            if waited_s > self._settings.watch_wait_s:
+            if call == "watch_config" and waited_s > self._wait_s:
                 pause_s = 0.0
         else:
             self._retry.succeeded()
@@ -214,10 +220,9 @@
         change was answered only after its wait.
         """
         waited_s = self._scheduler.now_s() - self._asked_at_s
-        wait_s = self._settings.watch_wait_s
-        is_ended = isinstance(answer, ConfigUnchanged) and waited_s >= wait_s
+        is_ended = isinstance(answer, ConfigUnchanged) and waited_s >= self._wait_s
         if call == "watch_config" and is_ended:
-            return self._asked_at_s + wait_s
+            return self._asked_at_s + self._wait_s
         return self._asked_at_s
 
     def _learn(self, answer: ConfigAnswer, certain_at_s: float) -> None:
--- a/tests/configbound.feature
+++ b/tests/configbound.feature
@@ -87,6 +87,15 @@
       | 6.1    |
       | 6.8    |
 
+  Scenario: A host that has begun to read stays fresh for its zone
+    # Guards against a first watch whose end comes so late that the followers leave for
+    # the store.
+    Given 12 sharing hosts in 3 zones that know one seed
+    When 20 seconds of sharing pass
+    And the readers stop
+    And 2 seconds of sharing pass
+    Then the hosts that read are fresh for others in the next 6 seconds
+
   Scenario Outline: Random days keep the bound
     # Incident config-quimper. Seeds that broke it, each with kinds of faults of its own.
     Given a random day of seed <seed> with the faults <kinds>
--- a/tests/hostsoak.py
+++ b/tests/hostsoak.py
@@ -56,6 +56,7 @@
 # A drained upstream goes on for this long after the bound, where no flow may come.
 DRAINED_STAY_S = 3.0
 FAULT_LENGTH_S = (0.5, 3.0)
+CHANGE_AFTER_STALL_S = (0.0, 1.0)
 ADDRESS_REUSE_S = 2.0
 START_LIMIT_S = 20.0
 
@@ -141,12 +142,13 @@
         self._after(self._length_s(), lambda: host.set_link(LinkMode.CLEAR))
 
     def stall_connections(self) -> None:
-        """Let the connections of a host, or of all, fall silent for good."""
+        """Let connections of a host, or of all, fall silent, and change the routes."""
         struck = self.fleet.hosts
         if self._rng.random() < 0.5:
             struck = [self._any_host()]
         for host in struck:
             host.stall()
+        self._after(self._rng.uniform(*CHANGE_AFTER_STALL_S), self.configure)
 
     def harm_store(self) -> None:
         self._store.mode = self._rng.choice((StoreMode.REFUSING, StoreMode.GARBLED))
--- a/tests/steps/configbound_steps.py
+++ b/tests/steps/configbound_steps.py
@@ -55,6 +55,25 @@
     context.scheduler.run_for(duration_s)
 
 
+@then("the hosts that read are fresh for others in the next {duration_s:d} seconds")
+def then_fresh(context, duration_s):
+    for _ in range(20 * duration_s):
+        context.scheduler.run_for(0.05)
+        reading = [
+            host
+            for host in context.fleet.hosts
+            if host.sharing.source is Source.STORE and not host.is_dead
+        ]
+        asked = [host.state.request(False, False) for host in reading]
+        answers = map(
+            lambda host, request: host.sharing.snapshot(request), reading, asked
+        )
+        stale = [answer for answer in answers if not answer.is_fresh]
+        assert not stale, [
+            (answer.config_age_s, answer.listing_age_s) for answer in stale
+        ]
+
+
 @then("every host that nothing has disturbed for 4 seconds keeps the bound")
 def then_bound_kept(context):
     broken = context.day.play()
