Check that lost watches delay a revision within its bound on the request path

The same cause looked for elsewhere: the watch of the request path waits 10 s, and the request of it ends 3 s later; the bound there is 15 s. All watchers of three zones lose the watch that they have just begun: the next revision runs everywhere within 15 s. The scenario passes on the code as it is, so nothing is changed.

--- a/tests/configstore.feature
+++ b/tests/configstore.feature
@@ -98,6 +98,15 @@
     And the text with 2 upstreams is submitted
     Then all configuration hosts run revision 1 within 10 seconds
 
+  Scenario: Watches that get no answer delay a revision within its bound
+    # Guards against a watch that is lost, as in incident config-quimper; bound 15 s. All
+    # watchers begin a new watch at the same time, after a change, and lose it.
+    Given 3 zones of 4 hosts that follow the configuration
+    When the text with 2 upstreams is submitted
+    And 2 seconds later the waiting watches of the store are lost
+    And the text with 3 upstreams is submitted
+    Then all configuration hosts run revision 2 within 15 seconds
+
   Scenario: A host catches up with a peer that is known to be ahead
     # Guards against acting on an old table after a message names a newer one.
     Given 1 zones of 2 hosts without running followers
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -38,6 +38,7 @@
     Membership,
 )
 from wisteriatiller.outcomes import Conflict, StoreUnavailable
+from wisteriatiller.store.store_consul import REQUEST_TIMEOUT_S
 from wisteriatiller.transport.peernode import PeerNode
 
 PEER_KEY = b"a key for tests of sixteen bytes or more"
@@ -332,6 +333,9 @@
         self._index = 1
         self._entries: dict[str, StoreEntry] = {}
         self._changed = asyncio.Event()
+        # Watches up to this number get no answer.
+        self._watches = 0
+        self._stalled_up_to = 0
 
     def client(self, host_id: str) -> "FakeStoreClient":
         return FakeStoreClient(self, host_id)
@@ -349,13 +353,27 @@
         self.away = away
         self._wake_waiting()
 
+    def stall_watches(self) -> None:
+        """Let the watches that wait get no answer; later ones do."""
+        self._stalled_up_to = self._watches
+
     async def get(self, key, wait_index=0, wait_s=0.0):
         self.reads += 1
+        self._watches += 1
+        number = self._watches
         await asyncio.sleep(self.delay_s)
         if self.away:
             return StoreUnavailable("away")
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + wait_s
+        answer = await self._wait_for(key, wait_index, deadline_s)
+        if number <= self._stalled_up_to:
+            await asyncio.sleep(deadline_s - loop.time() + REQUEST_TIMEOUT_S)
+            return StoreUnavailable("timeout")
+        return answer
+
+    async def _wait_for(self, key, wait_index, deadline_s):
+        loop = asyncio.get_running_loop()
         while self._read(key).index <= wait_index and loop.time() < deadline_s:
             changed = self._changed
             generation = self._index
--- a/tests/steps/configstore_steps.py
+++ b/tests/steps/configstore_steps.py
@@ -248,6 +248,15 @@
     act(context, action)
 
 
+@when("{pause_s:d} seconds later the waiting watches of the store are lost")
+def when_watches_lost(context, pause_s):
+    async def action(fleet):
+        await asyncio.sleep(pause_s)
+        fleet.store.stall_watches()
+
+    act(context, action)
+
+
 @when("the store comes back for configuration hosts")
 def when_store_back(context):
     async def action(fleet):
