--- a/tests/steps/balance_steps.py
+++ b/tests/steps/balance_steps.py
@@ -5,15 +5,10 @@
 
 from behave import given, then, when
 
-from testbed.bench_policy import (
-    ReturningCallers,
-    _half_speed,
-    _lying_reports,
-    crash,
-    fill,
-    max_to_mean,
-    short_flows,
-)
+from testbed.policybalance import _half_speed, _lying_reports, fill, short_flows
+from testbed.policycases import max_to_mean
+from testbed.policyoverload import ReturningCallers
+from testbed.policyrecovery import crash
 from testbed.policyworld import Sizes, World, run_virtual
 from wisteriatiller.ids import UpstreamId
 from wisteriatiller.owners.loads import LoadSummary
--- a/tests/steps/queueing_steps.py
+++ b/tests/steps/queueing_steps.py
@@ -6,7 +6,8 @@
 
 from behave import then, when
 
-from testbed.bench_policy import one_busy_caller, percentile
+from testbed.policycases import percentile
+from testbed.policyfairness import one_busy_caller
 from testbed.policyworld import run_virtual
 from wisteriatiller.requests.queueing import FairQueue, Request
 
