Let no entry of another writer end a host

What callers would see: every host ends as it reads the listing, starts again and ends again.

Cause: Python reads JSON numbers of any size and text with half of a surrogate pair.

Change: the adapter takes no number above 2^53, no text that cannot be encoded, and no key that cannot be an upstream's name. A route's name, which only logs show, is replaced and does not make the configuration unreadable.

--- a/src/wisteriatiller/platform/entries.py
+++ b/src/wisteriatiller/platform/entries.py
@@ -1,7 +1,6 @@
 """Decodes the entries of upstreams and the operators' configuration."""
 
 import json
-import math
 import socket
 
 from wisteriatiller.ids import Address, ServiceId, UpstreamId, ZoneId
@@ -18,6 +17,8 @@
 from .packets import intended_number
 
 DEFAULT_IDLE_TIMEOUT_MS = 60_000
+# JSON readers agree on integers up to here.
+MAX_NUMBER = 1 << 53
 _STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 
 
@@ -25,13 +26,20 @@
     """Bytes in the store that do not say what they should."""
 
 
+def names_upstream(name: str) -> bool:
+    """Whether an upstream can have this name; other writers' keys may be any text."""
+    try:
+        intended_number(UpstreamId(name))
+    except ValueError:
+        return False
+    return _is_encodable(name)
+
+
 def decode_upstream(upstream_id: UpstreamId, data: bytes) -> Upstream:
     """Read one entry; ``EntryError`` if any field is missing or of another type."""
     entry = _object(data)
-    try:
-        intended_number(upstream_id)
-    except ValueError as error:
-        raise EntryError(str(error)) from None
+    if not names_upstream(upstream_id):
+        raise EntryError(f"no upstream has the name {upstream_id!a}")
     state = _STATES.get(_typed(entry, "state", str))
     if state is None:
         raise EntryError(f"unknown state {entry['state']!r}")
@@ -80,7 +88,8 @@
     else:
         services = (WeightedService(ServiceId(_typed(route, "service", str)), 1.0),)
     return Route(
-        name=str(route.get("name", "")),
+        # Only logs show it.
+        name=str(route.get("name", "")).encode(errors="replace").decode(),
         service_address=ServiceAddress(host + int(port).to_bytes(2, "big")),
         services=services,
     )
@@ -105,14 +114,33 @@
 
 def _typed(fields: dict, name: str, expected: type | tuple[type, ...]):
     value = fields.get(name)
-    if isinstance(value, bool) or not isinstance(value, expected):
-        raise EntryError(f"{name}: found {value!r}")
-    # JSON numbers may be too large for a float, and Python reads NaN too.
-    if isinstance(value, float) and not math.isfinite(value):
-        raise EntryError(f"{name}: found {value!r}")
+    is_expected = isinstance(value, expected) and not isinstance(value, bool)
+    if not is_expected or not _can_be_told(value):
+        raise EntryError(f"{name}: found {value!a}")
     return value
 
 
+def _can_be_told(value: object) -> bool:
+    """Whether a value fits into logs and into the messages between hosts.
+
+    JSON numbers may be too large for 64 bits, Python reads NaN and infinity too, and
+    JSON text may hold half of a surrogate pair.
+    """
+    if isinstance(value, str):
+        return _is_encodable(value)
+    if isinstance(value, (int, float)):
+        return abs(value) <= MAX_NUMBER
+    return True
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _address(text: str) -> Address:
     try:
         address = Address.parse(text)
--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -25,7 +25,7 @@
     StoreFailureReason,
 )
 
-from .entries import EntryError, decode_config, decode_upstream
+from .entries import EntryError, decode_config, decode_upstream, names_upstream
 
 CONFIG_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
@@ -140,6 +140,8 @@
 
     def _add(self, item: dict) -> None:
         upstream_id = UpstreamId(item["key"].removeprefix(UPSTREAM_PREFIX))
+        if not names_upstream(upstream_id):
+            return
         try:
             data = base64.b64decode(item["value"], validate=True)
             self._upstreams[upstream_id] = decode_upstream(upstream_id, data)
--- a/tests/hostprocess.feature
+++ b/tests/hostprocess.feature
@@ -33,6 +33,19 @@
     And the log has a line store_call_failed
     And the log has a line store_lost
 
+  Scenario Outline: An entry of another writer ends no host
+    # Guards against one writer's bytes that take the whole fleet down.
+    Given a stand-in store and a host process
+    When the host is ready
+    And another writer puts an entry in which <field> is <value>
+    And 2 seconds pass and a peer asks for all that the host knows
+    Then an opening packet reaches the upstream with its number and a tag
+
+    Examples:
+      | field       | value                 |
+      | service     | "\ud800"              |
+      | concurrency | 100000000000000000000 |
+
   Scenario: A settings file that changes without a signal is read again
     # Guards against a host that keeps an address of the store that is no more.
     Given a stand-in store and a host process
--- a/tests/platformadapter.feature
+++ b/tests/platformadapter.feature
@@ -47,6 +47,38 @@
       | warmup_left_ms | NaN           |
       | born           | 1.5           |
       | born           | "yesterday"   |
+      | born           | 100000000000000000000 |
+      | concurrency    | 100000000000000000000 |
+      | warmup_left_ms | 100000000000000000000 |
+      | warmup_left_ms | 1e300         |
+      | service        | "\ud800"      |
+      | zone           | "\ud800"      |
+
+  Scenario: An entry of a name that is no text names no upstream
+    # Guards against a key of another writer that ends the process, in a log line or in a
+    # snapshot.
+    Given the key of an entry is "servers/\ud800-7f"
+    Then the listing has neither an upstream nor an unreadable one
+
+  Scenario: A route whose name is no text is read
+    # Guards against a configuration that is refused as a whole for what only logs show.
+    Given a good configuration in which name is "\ud800"
+    Then the configuration is read, and its text can be logged
+
+  Scenario Outline: A configuration that other hosts could not be told is reported
+    # Guards against a configuration that is read and then ends the process, in a log line
+    # or in a snapshot.
+    Given a good configuration in which <field> is <value>
+    Then the configuration is unreadable
+
+    Examples:
+      | field           | value                 |
+      | version         | 100000000000000000000 |
+      | idle_timeout_ms | 100000000000000000000 |
+      | weight          | 100000000000000000000 |
+      | idle_timeout_ms | 1e300                 |
+      | weight          | 1e999                 |
+      | service         | "\ud800"              |
 
   Scenario: Bytes that are no entry name no upstream
     # Guards against unreadable values.
--- a/tests/steps/hostprocess_steps.py
+++ b/tests/steps/hostprocess_steps.py
@@ -202,6 +202,23 @@
     time.sleep(pause_s)
 
 
+@when("another writer puts an entry in which {field} is {value}")
+def when_other_writer(context, field, value):
+    host = context.host
+    made = entry("other", host.address_of(host.upstream))
+    host.store.put("servers/i-7e", made | {field: json.loads(value)})
+
+
+@when("{pause_s:d} seconds pass and a peer asks for all that the host knows")
+def when_peer_asks(context, pause_s):
+    time.sleep(pause_s)
+    host = context.host
+    url = f"http://{host.ip}:8166/snapshot?127.0.0.1:1,zone-a,0,0,0,1,1,"
+    with urllib.request.urlopen(url, timeout=5) as response:
+        assert response.status == 200, response.status
+    assert host.process.poll() is None, host.error_path.read_text()
+
+
 @when("the host gets {name}")
 def when_signal(context, name):
     context.host.process.send_signal(signal.Signals[name])
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -110,6 +110,52 @@
         context.entry[field] = json.loads(value)
 
 
+@given("the key of an entry is {key}")
+def given_key(context, key):
+    data = json.dumps(entry("stock", ADDRESS)).encode()
+    value = base64.b64encode(data).decode()
+    builder = ListingBuilder(is_current=True)
+    items = [{"key": json.loads(key), "value": value}]
+    builder.add_page({"store_revision": 5, "items": items, "truncated": False})
+    context.listing = builder.listing()
+
+
+@then("the listing has neither an upstream nor an unreadable one")
+def then_empty_listing(context):
+    assert not context.listing.upstreams, context.listing
+    assert not context.listing.unreadable, context.listing
+
+
+@given("a good configuration in which {field} is {value}")
+def given_config(context, field, value):
+    part = {"service": "stock", "weight": 90}
+    made = configuration(1, route("198.18.0.1", 443, "stock", traffic_split=[part]))
+    places = {
+        "version": made,
+        "idle_timeout_ms": made["limits"],
+        "weight": part,
+        "service": part,
+        "name": made["routes"][0],
+    }
+    places[field][field] = json.loads(value)
+    context.data = json.dumps(made).encode()
+
+
+@then("the configuration is read, and its text can be logged")
+def then_config_loggable(context):
+    (read,) = decode_config(context.data).routes
+    read.name.encode()
+
+
+@then("the configuration is unreadable")
+def then_config_unreadable(context):
+    try:
+        found = decode_config(context.data)
+    except EntryError:
+        return
+    raise AssertionError(found)
+
+
 def is_unreadable(data):
     try:
         decode_upstream("i-7f", data)
