--- a/tests/sharingfleet.py
+++ b/tests/sharingfleet.py
@@ -4,6 +4,7 @@
 
 from testbed.steeringparts import VirtualScheduler, route_config, upstream
 from tests.steeringfakes import Fleet
+from wisteriatiller.steering.sharing import Source
 
 ZONES = "abc"
 
@@ -28,6 +29,15 @@
     context.dead = []
 
 
+def readers(context):
+    """The living hosts that read the store."""
+    return [
+        host
+        for host in context.fleet.hosts
+        if host.sharing.source is Source.STORE and not host.is_dead
+    ]
+
+
 def start_host(context, zone, duration_s):
     seed = context.fleet.hosts[0].settings.control_listen
     context.newcomer = context.fleet.add(zone, (seed,))
--- a/tests/steps/configbound_steps.py
+++ b/tests/steps/configbound_steps.py
@@ -3,8 +3,8 @@
 from behave import given, then, when
 
 from tests.sharingdays import Day
+from tests.sharingfleet import readers
 from tests.steeringworld import large_config
-from wisteriatiller.steering.sharing import Source
 
 
 @given("a watch that brings {routes:d} routes at most")
@@ -33,8 +33,7 @@
 
 @when("the readers get no answer about the configuration")
 def when_config_silent(context):
-    reading = (h for h in context.fleet.hosts if h.sharing.source is Source.STORE)
-    context.lost = {host.name for host in reading}
+    context.lost = {host.name for host in readers(context)}
     context.fleet.store.config_silent_for = context.lost
 
 
@@ -59,19 +58,12 @@
 def then_fresh(context, duration_s):
     for _ in range(20 * duration_s):
         context.scheduler.run_for(0.05)
-        reading = [
-            host
-            for host in context.fleet.hosts
-            if host.sharing.source is Source.STORE and not host.is_dead
+        answers = [
+            host.sharing.snapshot(host.state.request(False, False))
+            for host in readers(context)
         ]
-        asked = [host.state.request(False, False) for host in reading]
-        answers = map(
-            lambda host, request: host.sharing.snapshot(request), reading, asked
-        )
         stale = [answer for answer in answers if not answer.is_fresh]
-        assert not stale, [
-            (answer.config_age_s, answer.listing_age_s) for answer in stale
-        ]
+        assert not stale, [(one.config_age_s, one.listing_age_s) for one in stale]
 
 
 @then("every host that nothing has disturbed for 4 seconds keeps the bound")
--- a/tests/steps/readsharing_steps.py
+++ b/tests/steps/readsharing_steps.py
@@ -3,7 +3,13 @@
 from behave import given, then, when
 
 from testbed.steeringparts import upstream
-from tests.sharingfleet import check_version, config, make_fleet, start_host
+from tests.sharingfleet import (
+    check_version,
+    config,
+    make_fleet,
+    readers,
+    start_host,
+)
 from tests.steeringworld import large_config
 from wisteriatiller.steering import UpstreamState
 from wisteriatiller.steering.sharing import Source
@@ -26,14 +32,6 @@
     context.fleet.store.link_bytes_per_s = 1000 * rate_kb
 
 
-def readers(context):
-    return [
-        host
-        for host in context.fleet.hosts
-        if host.sharing.source is Source.STORE and not host.is_dead
-    ]
-
-
 @when("{duration_s:g} seconds of sharing pass")
 def when_share(context, duration_s):
     context.scheduler.run_for(duration_s)
