Log the store's epoch and the listings that are not applied

After a restore the hosts got answers and took none of their listings over, and no line or metric said so: the directory's revision looked healthy, and the epoch that the store sends was not read.

Answers now carry their epoch as a position in the store's history. store_epoch_changed and store_answer_outdated tell when an answer belongs to another history, listing_rejected when a listing was older (at most one line in 5 s; counter listings_rejected), and directory_epoch stands beside directory_revision in logs, gauges and the status page. Deltas between hosts carry the epoch, so their format version is 5. No decision uses it yet.

The stand-in of the store can go back to an older copy: revisions are given out again, watches beyond them get 410, and each answer names the epoch.

--- a/src/wisteriatiller/ids.py
+++ b/src/wisteriatiller/ids.py
@@ -15,12 +15,33 @@
 CallerId = NewType("CallerId", str)
 SubmissionId = NewType("SubmissionId", str)
 Revision = NewType("Revision", int)
+# Counts how often the store was restored from a backup. Writes after the backup are
+# then lost, and their revisions are given out again.
+StoreEpoch = NewType("StoreEpoch", int)
 
 # The address block of a PROXY protocol v2 header: caller address, service address,
 # caller port and service port in network byte order. All hosts identify a flow by it.
 FlowKey = NewType("FlowKey", bytes)
 
 NO_REVISION = Revision(0)
+# The epoch of an answer that names none; older than any other.
+NO_EPOCH = StoreEpoch(0)
+
+
+class StorePosition(NamedTuple):
+    """A point in the history of the store: a revision within an epoch.
+
+    Positions are ordered by epoch first, since a restored store reuses revisions::
+
+        before_restore = StorePosition(StoreEpoch(1), Revision(90))
+        assert before_restore < StorePosition(StoreEpoch(2), Revision(12))
+    """
+
+    epoch: StoreEpoch
+    revision: Revision
+
+
+NO_POSITION = StorePosition(NO_EPOCH, NO_REVISION)
 
 
 class Address(NamedTuple):
--- a/src/wisteriatiller/network/httpclient.py
+++ b/src/wisteriatiller/network/httpclient.py
@@ -5,7 +5,7 @@
 """
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import NamedTuple
 
@@ -39,8 +39,11 @@
 
 
 class HttpResponse(NamedTuple):
+    """A complete response; the names of its headers are in lower case."""
+
     status: int
     body: bytes
+    headers: Mapping[str, str]
 
 
 class HttpFailure(NamedTuple):
@@ -72,6 +75,7 @@
         self._deadline_s = 0.0
         self._parser: HttpResponseParser | None = None
         self._body = bytearray()
+        self._headers: dict[str, str] = {}
         self._is_complete = False
         # Whether a second response started on the connection.
         self._has_extra_response = False
@@ -84,6 +88,7 @@
         self._on_result = on_result
         self._parser = HttpResponseParser(self)
         self._body = bytearray()
+        self._headers = {}
         self._is_complete = False
         self._has_extra_response = False
         self._unsent_data = self._encode_request(request)
@@ -102,6 +107,10 @@
         """Called by the parser at the start of a response."""
         self._has_extra_response = self._is_complete
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser with a header of the response."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, data: bytes) -> None:
         """Called by the parser with a part of the body."""
         self._body += data
@@ -185,7 +194,9 @@
             self._start_timer()
 
     def _complete(self) -> None:
-        response = HttpResponse(self._parser.get_status_code(), bytes(self._body))
+        response = HttpResponse(
+            self._parser.get_status_code(), bytes(self._body), self._headers
+        )
         self._body = bytearray()
         self._disconnect()
         self._deliver(response)
--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -4,7 +4,14 @@
 import json
 from collections.abc import Callable
 
-from wisteriatiller.ids import Revision, UpstreamId
+from wisteriatiller.ids import (
+    NO_EPOCH,
+    NO_REVISION,
+    Revision,
+    StoreEpoch,
+    StorePosition,
+    UpstreamId,
+)
 from wisteriatiller.network import (
     EventLoop,
     HttpClient,
@@ -34,6 +41,8 @@
 
 CONFIG_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
+# In every response; it rises when the store comes back from an older copy.
+EPOCH_HEADER = "store-era"
 # Limit of a response body as a multiple of the largest value; allows for base64, JSON
 # and pages of many values.
 BODY_SIZE_FACTOR = 4
@@ -89,7 +98,7 @@
                 on_answer(body)
                 return
             try:
-                is_last = builder.add_page(body)
+                is_last = builder.add_page(body, epoch_of(result))
             except (ValueError, TypeError, LookupError) as error:
                 on_answer(StoreFailure(StoreFailureReason.UNREADABLE, repr(error)))
                 return
@@ -123,18 +132,21 @@
 class ListingBuilder:
     """Assembles a listing from its pages.
 
-    ``last_key`` is the last key so far, after which the next page begins.
+    ``last_key`` is the last key so far, after which the next page begins, and ``epoch``
+    is that of the last page.
     """
 
     def __init__(self, is_current: bool):
         self.is_current = is_current
         self.last_key = ""
+        self.epoch = NO_EPOCH
         self._page_revisions: list[Revision] = []
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._unreadable: set[UpstreamId] = set()
 
-    def add_page(self, body: dict) -> bool:
+    def add_page(self, body: dict, epoch: StoreEpoch = NO_EPOCH) -> bool:
         """Add one page; return whether it is the last one."""
+        self.epoch = epoch
         self._page_revisions.append(Revision(int(body["store_revision"])))
         items = body["items"]
         if items and items[0]["key"] <= self.last_key:
@@ -153,6 +165,7 @@
             page_revisions=tuple(self._page_revisions),
             upstreams=tuple(self._upstreams.values()),
             unreadable=frozenset(self._unreadable),
+            epoch=self.epoch,
         )
 
     def _add_item(self, item: dict) -> None:
@@ -184,12 +197,13 @@
 
 def _parse_config_response(result: HttpResult) -> ConfigAnswer:
     if isinstance(result, HttpResponse) and result.status == 404:
-        return ConfigMissing(_revision_of_missing_config(result))
+        revision = _revision_of_missing_config(result)
+        return ConfigMissing(StorePosition(epoch_of(result), revision))
     body = _parse_body(result)
     if isinstance(body, StoreFailure):
         return body
     try:
-        return _decode_config_value(Revision(int(body["store_revision"])), body)
+        return _decode_config_value(_position_of(result, body), body)
     except (ValueError, TypeError, LookupError) as error:
         return StoreFailure(StoreFailureReason.UNREADABLE, repr(error))
 
@@ -207,28 +221,41 @@
 
 def _parse_watch_response(result: HttpResult) -> ConfigAnswer:
     if isinstance(result, HttpResponse) and result.status == 410:
-        return HistoryExpired()
+        return HistoryExpired(StorePosition(epoch_of(result), NO_REVISION))
     body = _parse_body(result)
     if isinstance(body, StoreFailure):
         return body
     try:
-        revision = Revision(int(body["store_revision"]))
+        position = _position_of(result, body)
         writes = [
             event
             for event in body["events"]
             if event["key"] == CONFIG_KEY and "tombstone" not in event
         ]
         if not writes:
-            return ConfigUnchanged(revision)
+            return ConfigUnchanged(position)
         newest = max(writes, key=lambda event: event["revision"])
-        return _decode_config_value(revision, newest)
+        return _decode_config_value(position, newest)
     except (ValueError, TypeError, LookupError) as error:
         return StoreFailure(StoreFailureReason.UNREADABLE, repr(error))
 
 
-def _decode_config_value(revision: Revision, item: dict) -> ConfigRead | ConfigInvalid:
+def epoch_of(response: HttpResponse) -> StoreEpoch:
+    """Return the epoch that a response names; ``NO_EPOCH`` if it names none."""
+    text = response.headers.get(EPOCH_HEADER, "")
+    return StoreEpoch(int(text)) if text.isascii() and text.isdecimal() else NO_EPOCH
+
+
+def _position_of(response: HttpResponse, body: dict) -> StorePosition:
+    revision = Revision(int(body["store_revision"]))
+    return StorePosition(epoch_of(response), revision)
+
+
+def _decode_config_value(
+    position: StorePosition, item: dict
+) -> ConfigRead | ConfigInvalid:
     try:
         data = base64.b64decode(item["value"], validate=True)
-        return ConfigRead(revision, decode_config(data))
+        return ConfigRead(position, decode_config(data))
     except (StoredValueError, ValueError) as error:
-        return ConfigInvalid(revision, str(error))
+        return ConfigInvalid(position, str(error))
--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -5,7 +5,14 @@
 from enum import Enum
 from typing import NamedTuple
 
-from wisteriatiller.ids import NO_REVISION, Revision, ServiceId, UpstreamId
+from wisteriatiller.ids import (
+    NO_EPOCH,
+    NO_REVISION,
+    Revision,
+    ServiceId,
+    StoreEpoch,
+    UpstreamId,
+)
 
 from .upstreams import (
     NO_LISTING,
@@ -78,6 +85,7 @@
     """
 
     def __init__(self):
+        self.epoch: StoreEpoch = NO_EPOCH
         self.revision: Revision = NO_REVISION
         self.last_read_at_s: float | None = None
         self.listing: Listing | None = None
@@ -110,6 +118,7 @@
             return None
         if store_healthy_s is not None:
             self._extend_healthy_period(now_s - store_healthy_s)
+        self.epoch = listing.epoch
         self.revision = listing.revision
         if listing is not self.listing:
             self.listing = listing
@@ -144,6 +153,7 @@
                 listing.upstreams,
                 listing.unreadable,
                 frozenset(),
+                listing.epoch,
             )
         changed = [
             entry
@@ -157,6 +167,7 @@
             upstreams=tuple(entry.upstream for entry in listed),
             unreadable=_ids_by_presence(changed, Presence.UNREADABLE),
             removed=_ids_by_presence(changed, Presence.UNCERTAIN, Presence.GONE),
+            epoch=listing.epoch,
         )
 
     def mark_store_lost(self) -> None:
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -72,8 +72,11 @@
     def store_failed(self, call, failure, failures, waited_s):
         self._reporter.store_failed(call, failure, failures, waited_s)
 
-    def store_answered(self, call, waited_s):
-        self._reporter.store_answered(call, waited_s)
+    def store_answered(self, call, waited_s, epoch):
+        self._reporter.store_answered(call, waited_s, epoch)
+
+    def listing_rejected(self, listing, source):
+        self._reporter.listing_rejected(listing, source)
 
 
 class SteeringHost:
@@ -287,6 +290,7 @@
         gauge("flows", lambda: len(self.steering.flows))
         gauge("config_version", lambda: self.config.version)
         gauge("config_age_seconds", lambda: _age(self.config.age_s(now_s())))
+        gauge("directory_epoch", lambda: self.directory.epoch)
         gauge("directory_revision", lambda: self.directory.revision)
         gauge("directory_age_seconds", lambda: _age(self.directory.age_s(now_s())))
         gauge("log_lines_left_out", lambda: self._log.dropped_lines_total)
--- a/src/wisteriatiller/steering/ports.py
+++ b/src/wisteriatiller/steering/ports.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from wisteriatiller.ids import Address, Revision
+from wisteriatiller.ids import Address, Revision, StorePosition
 
 from .packets import Packet
 from .routes import RouteConfig
@@ -28,33 +28,38 @@
 
 
 class HistoryExpired(NamedTuple):
-    """The store no longer keeps the changes since the requested revision."""
+    """The store does not have the changes since the requested revision.
+
+    ``position`` tells only the epoch.
+    """
+
+    position: StorePosition
 
 
 class ConfigMissing(NamedTuple):
     """The store holds no configuration."""
 
-    revision: Revision
+    position: StorePosition
 
 
 class ConfigInvalid(NamedTuple):
     """The configuration in the store cannot be decoded."""
 
-    revision: Revision
+    position: StorePosition
     detail: str
 
 
 class ConfigRead(NamedTuple):
-    """The configuration, read at a revision of the store."""
+    """The configuration, read at a position of the store."""
 
-    revision: Revision
+    position: StorePosition
     config: RouteConfig
 
 
 class ConfigUnchanged(NamedTuple):
-    """The configuration has not changed up to this revision."""
+    """The configuration has not changed up to this position."""
 
-    revision: Revision
+    position: StorePosition
 
 
 ConfigAnswer = (
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -1,6 +1,6 @@
 """Writes log lines and counters for decisions and state changes."""
 
-from wisteriatiller.ids import Address, UpstreamId
+from wisteriatiller.ids import NO_EPOCH, Address, StoreEpoch, UpstreamId
 from wisteriatiller.telemetry import Counters, EventLog
 
 from .directory import DirectoryEntry, UpstreamChange, UpstreamDirectory
@@ -12,6 +12,7 @@
 from .slowupstreams import Share
 from .steering import SteeringObserver
 from .storepolling import LOST_AFTER_FAILURES, StateObserver
+from .upstreams import Listing
 from .zonelatencies import ShareObserver
 
 # A flow that takes longer to open has probably lost a packet.
@@ -20,6 +21,8 @@
 SLOW_ANSWER_S = 0.5
 # Limits the lines of one listing: the first one may change thousands of upstreams.
 MAX_CHANGE_LINES = 40
+# A store that answers with older listings may do so for many polls.
+REJECTION_LOG_INTERVAL_S = 5.0
 
 
 class Reporter(SteeringObserver, StateObserver, ShareObserver):
@@ -39,6 +42,8 @@
         self._directory = directory
         self._now_s = now_s
         self._lost_calls: set[str] = set()
+        self._store_epoch = NO_EPOCH
+        self._rejection_logged_at_s = float("-inf")
         self.on_unknown_tag = lambda: None
 
     def flow_placed(
@@ -134,7 +139,8 @@
         self._counters.count("config_invalid")
         self._log.event(
             "config_invalid",
-            revision=answer.revision,
+            epoch=answer.position.epoch,
+            revision=answer.position.revision,
             detail=answer.detail,
             config_version=self._view.version,
         )
@@ -181,12 +187,41 @@
             **self._state_fields(),
         )
 
-    def store_answered(self, call: str, waited_s: float) -> None:
+    def store_answered(self, call: str, waited_s: float, epoch: StoreEpoch) -> None:
         self._counters.observe_ms(f"store_{call}", 1000.0 * waited_s)
+        if epoch != self._store_epoch:
+            self._report_epoch(call, epoch)
         if call in self._lost_calls:
             self._lost_calls.discard(call)
             self._log.event("store_regained", call=call, **self._state_fields())
 
+    def _report_epoch(self, call: str, epoch: StoreEpoch) -> None:
+        """Log a newer epoch once, and each answer of an older one."""
+        is_newer = epoch > self._store_epoch
+        self._counters.count("store_epochs", "newer" if is_newer else "older")
+        self._log.event(
+            "store_epoch_changed" if is_newer else "store_answer_outdated",
+            call=call,
+            epoch=epoch,
+            known_epoch=self._store_epoch,
+            **self._state_fields(),
+        )
+        self._store_epoch = max(epoch, self._store_epoch)
+
+    def listing_rejected(self, listing: Listing, source: str) -> None:
+        self._counters.count("listings_rejected")
+        now_s = self._now_s()
+        if now_s - self._rejection_logged_at_s < REJECTION_LOG_INTERVAL_S:
+            return
+        self._rejection_logged_at_s = now_s
+        self._log.event(
+            "listing_rejected",
+            epoch=listing.epoch,
+            revision=listing.revision,
+            source=source,
+            **self._state_fields(),
+        )
+
     def source_changed(self, source: Source, reason: str) -> None:
         """Log that the host now reads the store itself, or follows a reader."""
         self._counters.count("source_changes", source.value)
@@ -221,6 +256,7 @@
         return {
             "config_version": self._view.version,
             "config_age_ms": _to_ms(self._view.age_s(now_s)),
+            "directory_epoch": self._directory.epoch,
             "directory_revision": self._directory.revision,
             "directory_age_ms": _to_ms(self._directory.age_s(now_s)),
         }
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -313,6 +313,8 @@
             listing = snapshot.listing_delta.apply_to(directory.listing)
             if listing is not None:
                 changes = directory.apply(listing, now_s, store_healthy_s, age_s)
+                if changes is None:
+                    self._observer.listing_rejected(listing, f"peer {peer.address}")
         elif directory.revision == snapshot.directory_revision:
             changes = directory.confirm(now_s, store_healthy_s, age_s)
         if changes:
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -11,7 +11,14 @@
 from typing import NamedTuple, TypeVar
 
 from wisteriatiller.exceptions import MessageError
-from wisteriatiller.ids import Address, Revision, ServiceId, UpstreamId, ZoneId
+from wisteriatiller.ids import (
+    Address,
+    Revision,
+    ServiceId,
+    StoreEpoch,
+    UpstreamId,
+    ZoneId,
+)
 
 from .latencies import BUCKETS, LatencyHistogram, LatencyReport
 from .packets import ServiceAddress
@@ -19,7 +26,7 @@
 from .upstreams import ListingDelta, ListingVersion, Tag, Upstream, UpstreamState
 
 MAX_SNAPSHOT_BYTES = 8_000_000
-FORMAT_VERSION = 4
+FORMAT_VERSION = 5
 # Compressing smaller parts would save less than a packet.
 MIN_COMPRESSED_BYTES = 1_200
 COMPRESSION_LEVEL = 1
@@ -279,13 +286,14 @@
 def _decode_delta(fields: list | None) -> ListingDelta | None:
     if fields is None:
         return None
-    base, page_revisions, upstreams, unreadable, removed = fields
+    base, page_revisions, upstreams, unreadable, removed, epoch = fields
     return ListingDelta(
         base=None if base is None else ListingVersion(int(base)),
         page_revisions=tuple(Revision(int(page)) for page in page_revisions),
         upstreams=tuple(_decode_upstream(*upstream) for upstream in upstreams),
         unreadable=frozenset(UpstreamId(str(name)) for name in unreadable),
         removed=frozenset(UpstreamId(str(name)) for name in removed),
+        epoch=StoreEpoch(int(epoch)),
     )
 
 
--- a/src/wisteriatiller/steering/status.py
+++ b/src/wisteriatiller/steering/status.py
@@ -23,6 +23,7 @@
             else len(host.config.config.routes),
         },
         "directory": {
+            "epoch": host.directory.epoch,
             "revision": host.directory.revision,
             "age_s": host.directory.age_s(now_s),
             "steady_s": host.directory.store_healthy_s(now_s),
--- a/src/wisteriatiller/steering/storepolling.py
+++ b/src/wisteriatiller/steering/storepolling.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from wisteriatiller.ids import NO_REVISION, Address, Revision
+from wisteriatiller.ids import NO_REVISION, Address, Revision, StoreEpoch
 from wisteriatiller.network.loop import Scheduler, Timer
 
 from .directory import UpstreamChange, UpstreamDirectory
@@ -74,7 +74,11 @@
     ) -> None: ...
 
     @abstractmethod
-    def store_answered(self, call: str, waited_s: float) -> None: ...
+    def store_answered(self, call: str, waited_s: float, epoch: StoreEpoch) -> None: ...
+
+    @abstractmethod
+    def listing_rejected(self, listing: Listing, source: str) -> None:
+        """Record that a listing was read and not applied, since it is older."""
 
 
 class _Backoff:
@@ -208,7 +212,7 @@
                 delay_s = 0.0
         else:
             self._backoff.reset()
-            self._observer.store_answered(call, waited_s)
+            self._observer.store_answered(call, waited_s, answer.position.epoch)
             self._apply_answer(answer, self._confirmed_until_s(call, answer))
             if isinstance(answer, ConfigMissing):
                 delay_s = self._settings.store_retry_s
@@ -237,7 +241,7 @@
         if isinstance(answer, HistoryExpired):
             self._revision = NO_REVISION
             return
-        self._revision = answer.revision
+        self._revision = answer.position.revision
         unconfirmed_s = self._view.age_s(self._scheduler.now_s())
         self._view.confirm(confirmed_until_s)
         if isinstance(answer, ConfigInvalid):
@@ -328,9 +332,11 @@
             age_s = now_s - self._called_at_s
             interval_s = _jittered(self._settings.listing_interval_s)
             delay_s = max(self._settings.store_retry_s, interval_s - age_s)
-            self._observer.store_answered("list_upstreams", age_s)
+            self._observer.store_answered("list_upstreams", age_s, answer.epoch)
             changes = self._directory.apply(answer, now_s, age_s=age_s)
-            if changes:
+            if changes is None:
+                self._observer.listing_rejected(answer, "store")
+            elif changes:
                 self._observer.directory_applied(changes, "store")
             self.on_listing_read()
         if self._is_active:
--- a/src/wisteriatiller/steering/upstreams.py
+++ b/src/wisteriatiller/steering/upstreams.py
@@ -5,7 +5,15 @@
 
 from xxhash import xxh3_64_intdigest, xxh32_intdigest
 
-from wisteriatiller.ids import Address, Revision, ServiceId, UpstreamId, ZoneId
+from wisteriatiller.ids import (
+    NO_EPOCH,
+    Address,
+    Revision,
+    ServiceId,
+    StoreEpoch,
+    UpstreamId,
+    ZoneId,
+)
 
 # Identifies an upstream in the packets of its flows. Every host computes the same tag.
 Tag = NewType("Tag", int)
@@ -42,13 +50,14 @@
 class Listing(NamedTuple):
     """All upstreams, as read from the pages of the store.
 
-    Each page has its own revision; ``page_revisions`` begins with the oldest one.
-    ``unreadable`` holds the ids of entries that exist but cannot be parsed.
+    Each page has its own revision, all in one epoch; ``page_revisions`` begins with the
+    oldest one. ``unreadable`` holds the ids of entries that exist but cannot be parsed.
     """
 
     page_revisions: tuple[Revision, ...]
     upstreams: tuple[Upstream, ...]
     unreadable: frozenset[UpstreamId]
+    epoch: StoreEpoch = NO_EPOCH
 
     @property
     def revision(self) -> Revision:
@@ -75,11 +84,14 @@
     upstreams: tuple[Upstream, ...]
     unreadable: frozenset[UpstreamId]
     removed: frozenset[UpstreamId]
+    epoch: StoreEpoch = NO_EPOCH
 
     def apply_to(self, listing: Listing | None) -> Listing | None:
         """The newer listing; None if ``listing`` is not the base."""
         if self.base is None:
-            return Listing(self.page_revisions, self.upstreams, self.unreadable)
+            return Listing(
+                self.page_revisions, self.upstreams, self.unreadable, self.epoch
+            )
         if listing is None or listing.version != self.base:
             return None
         changed = {upstream.upstream_id for upstream in self.upstreams}
@@ -90,7 +102,9 @@
             if upstream.upstream_id not in replaced
         ]
         unreadable = (listing.unreadable - replaced) | self.unreadable
-        return Listing(self.page_revisions, (*kept, *self.upstreams), unreadable)
+        return Listing(
+            self.page_revisions, (*kept, *self.upstreams), unreadable, self.epoch
+        )
 
 
 def upstream_tag(upstream_id: UpstreamId) -> Tag:
--- a/testbed/platformstandin.py
+++ b/testbed/platformstandin.py
@@ -9,7 +9,9 @@
 import json
 import struct
 import threading
+import time
 from enum import Enum
+from typing import NamedTuple
 
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
@@ -33,8 +35,19 @@
     TRICKLING = "trickling"
 
 
+class _Copy(NamedTuple):
+    """What the store held from ``taken_at_s`` until the next change."""
+
+    taken_at_s: float
+    revision: int
+    items: dict[str, tuple[bytes, int]]
+
+
 class StandInStore:
-    """Items with revisions, served from a thread of its own."""
+    """Items with revisions, served from a thread of its own.
+
+    ``epoch`` is sent with each answer; it counts the restores from 1.
+    """
 
     def __init__(self, ip: str, port: int = 0):
         self.mode = StoreMode.NORMAL
@@ -42,6 +55,8 @@
         self.calls: list[str] = []
         self._revision = 1
         self._items: dict[str, tuple[bytes, int]] = {}
+        self.epoch = 1
+        self._copies = [_Copy(time.monotonic(), self._revision, {})]
         self._loop = asyncio.new_event_loop()
         self._changed: asyncio.Event | None = None
         started = threading.Event()
@@ -58,6 +73,10 @@
     def remove(self, key: str) -> None:
         self._call(self._put, key, None)
 
+    def restore(self, age_s: float) -> None:
+        """Go back to the copy from ``age_s`` ago; what was written since is lost."""
+        self._call(self._restore, age_s)
+
     def close(self) -> None:
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
@@ -82,9 +101,12 @@
             "store_revision": self._revision,
         }
 
-    async def wait_events(self, prefix: str, after: int, wait_s: float) -> dict:
+    async def wait_events(self, prefix: str, after: int, wait_s: float) -> dict | None:
+        """Return the changes after a revision; None if the store has not had it."""
         end_s = self._loop.time() + wait_s
         while True:
+            if not self.history_from <= after <= self._revision:
+                return None
             events = [
                 self.item(key)
                 for key, (_, revision) in self._items.items()
@@ -108,6 +130,19 @@
             self._items.pop(key, None)
         else:
             self._items[key] = (data, self._revision)
+        self._copies.append(_Copy(time.monotonic(), self._revision, dict(self._items)))
+        self._wake_watches()
+
+    def _restore(self, age_s: float) -> None:
+        taken_before_s = time.monotonic() - age_s
+        while len(self._copies) > 1 and self._copies[-1].taken_at_s > taken_before_s:
+            self._copies.pop()
+        self._revision = self._copies[-1].revision
+        self._items = dict(self._copies[-1].items)
+        self.epoch += 1
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed.clear()
 
@@ -138,7 +173,9 @@
                 ("watch", _WatchHandler),
             )
         ]
-        self._server = HTTPServer(Application(routes, log_function=lambda _: None))
+        self._server = HTTPServer(
+            Application(routes, store=self, log_function=lambda _: None)
+        )
         self._server.listen(port, ip)
         sockets = list(self._server._sockets.values())
         self.address = f"{ip}:{sockets[0].getsockname()[1]}"
@@ -148,6 +185,10 @@
     def initialize(self, store: StandInStore):
         self.store = store
 
+    def set_default_headers(self):
+        # Called before ``initialize``, and again for error responses.
+        self.set_header("Store-Era", self.application.settings["store"].epoch)
+
     async def get(self):
         self.store.calls.append(self.request.uri)
         if self.store.mode is StoreMode.SILENT:
@@ -193,12 +234,14 @@
 class _WatchHandler(_StoreHandler):
     async def answer(self):
         after = int(self.get_query_argument("after"))
-        if after < self.store.history_from:
-            self.send_error(410)
-            return
         wait_s = int(self.get_query_argument("wait_ms")) / 1000
         prefix = self.get_query_argument("prefix")
-        await self.give(await self.store.wait_events(prefix, after, wait_s))
+        events = await self.store.wait_events(prefix, after, wait_s)
+        if events is None:
+            self.send_error(410)
+        else:
+            self.set_default_headers()
+            await self.give(events)
 
 
 def pack_packet(
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -3,6 +3,7 @@
 from collections import Counter, deque
 
 from tests.steeringharness import make_listing
+from wisteriatiller.ids import Revision, StoreEpoch, StorePosition
 from wisteriatiller.steering.ports import (
     ConfigMissing,
     ConfigRead,
@@ -29,6 +30,7 @@
     """The contents, limits and injected faults of a store that several hosts read."""
 
     def __init__(self):
+        self.epoch = StoreEpoch(1)
         self.revision = 1
         self.config = None
         self.config_revision = 0
@@ -58,6 +60,11 @@
         self.max_watch_routes = None
         self._config_puts = []
 
+    @property
+    def position(self):
+        """The point in its history that an answer given now belongs to."""
+        return StorePosition(self.epoch, Revision(self.revision))
+
     def admit_calls(self, name, calls, now_s):
         """Count calls of a host; False if they exceed the limit per second."""
         self.calls += calls
@@ -82,12 +89,14 @@
         """Replace all upstream entries at the next revision."""
         self.revision += 1
         self.upstreams = upstreams
-        self._listing_history.append((now_s, make_listing(self.revision, *upstreams)))
+        self._listing_history.append(
+            (now_s, make_listing(self.revision, *upstreams, epoch=self.epoch))
+        )
 
     def read_listing(self, is_current, now_s):
         """The current listing, or the stale one if that is good enough."""
         if is_current or not self.stale_read_lag_s:
-            return make_listing(self.revision, *self.upstreams)
+            return make_listing(self.revision, *self.upstreams, epoch=self.epoch)
         visible_until_s = now_s - self.stale_read_lag_s
         past = [
             listing
@@ -186,7 +195,7 @@
         elif connection.is_silent_to(self._name):
             connection.time_out_at(end_s + self._watch_slack_s, on_answer)
         elif self._state.is_history_lost:
-            self._complete_later(on_answer, HistoryExpired())
+            self._complete_later(on_answer, HistoryExpired(self._state.position))
         elif self._state.config_revision > after:
             answer = (
                 ANSWER_TOO_LARGE
@@ -195,7 +204,7 @@
             )
             self._complete_later(on_answer, answer, self._config_transfer_s())
         elif now_s >= end_s:
-            on_answer(ConfigUnchanged(self._state.revision))
+            on_answer(ConfigUnchanged(self._state.position))
         else:
             self._scheduler.call_later(
                 WATCH_POLL_INTERVAL_S, lambda: self._poll_watch(after, end_s, on_answer)
@@ -210,8 +219,8 @@
     def _config_answer(self):
         """The answer of a read or a changed watch, from the current state."""
         if self._state.config is None:
-            return ConfigMissing(self._state.revision)
-        return ConfigRead(self._state.revision, self._state.config)
+            return ConfigMissing(self._state.position)
+        return ConfigRead(self._state.position, self._state.config)
 
     def _config_transfer_s(self):
         """The time to transfer the configuration over the host's link."""
--- a/tests/platformadapter.feature
+++ b/tests/platformadapter.feature
@@ -182,3 +182,24 @@
     # Guards against a watch that ends after its first response.
     Given a stand-in store with 2 entries and 0 unreadable one
     Then a watch of 100 ms reports no change, a change and an expired history
+
+  Scenario: Each answer names the epoch of the store
+    # Incident store-restored. Guards against answers that cannot be told from those of
+    # a history that the store has lost.
+    Given a stand-in store with 2 entries and 0 unreadable one
+    Then the configuration, the listing and a watch are of epoch 1
+    When the stand-in store goes back to its first copy
+    Then the missing configuration and the listing are of epoch 2
+    And a watch from the lost revision reports an expired history of epoch 2
+
+  Scenario Outline: An answer without a readable epoch is of the oldest one
+    # Guards against an answer that cannot be placed and counts as the newest.
+    Then an answer whose epoch is <text> is of epoch <epoch>
+
+    Examples:
+      | text    | epoch |
+      | missing | 0     |
+      | x       | 0     |
+      | -3      | 0     |
+      | ²       | 0     |
+      | 7       | 7     |
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -35,6 +35,7 @@
         self.applied_configs = {}
         self.store_failures = 0
         self.invalid_configs = 0
+        self.rejected_listings = 0
 
     def config_applied(self, view, source, unconfirmed_s):
         self.applied_configs[view.version] = (self._scheduler.now_s(), source)
@@ -51,9 +52,12 @@
     def store_failed(self, call, failure, failures, waited_s):
         self.store_failures += 1
 
-    def store_answered(self, call, waited_s):
+    def store_answered(self, call, waited_s, epoch):
         pass
 
+    def listing_rejected(self, listing, source):
+        self.rejected_listings += 1
+
 
 class NoOpShareObserver(ShareObserver):
     """Ignores changes of shares."""
--- a/tests/steeringharness.py
+++ b/tests/steeringharness.py
@@ -1,7 +1,7 @@
 """A test harness for flow steering without a network, and builders of its inputs."""
 
 from testbed.steeringparts import SERVICE_ADDRESS, route_config, steering_settings
-from wisteriatiller.ids import FlowKey, Revision, ServiceId
+from wisteriatiller.ids import NO_EPOCH, FlowKey, Revision, ServiceId
 from wisteriatiller.steering import (
     ConfigVersion,
     Listing,
@@ -51,9 +51,11 @@
         self.events.append(("tag_unknown",))
 
 
-def make_listing(revision, *upstreams, unreadable=()):
+def make_listing(revision, *upstreams, unreadable=(), epoch=NO_EPOCH):
     """A listing at a store revision; ``unreadable`` are ids of unreadable entries."""
-    return Listing((Revision(revision),), tuple(upstreams), frozenset(unreadable))
+    return Listing(
+        (Revision(revision),), tuple(upstreams), frozenset(unreadable), epoch
+    )
 
 
 def config_with_routes(version, count):
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -32,7 +32,12 @@
 from wisteriatiller.platform.packets import FlowPacketCodec
 from wisteriatiller.platform.settingsfields import parse_fields
 from wisteriatiller.platform.settingsfile import SettingsFileError, decode_settings
-from wisteriatiller.platform.store import ListingBuilder, PlatformStore
+from wisteriatiller.platform.store import (
+    EPOCH_HEADER,
+    ListingBuilder,
+    PlatformStore,
+    epoch_of,
+)
 from wisteriatiller.platform.storedvalues import (
     StoredValueError,
     decode_config,
@@ -40,7 +45,12 @@
 )
 from wisteriatiller.steering import PacketKind, Tag
 from wisteriatiller.steering.packets import format_flow
-from wisteriatiller.steering.ports import ConfigRead, ConfigUnchanged, HistoryExpired
+from wisteriatiller.steering.ports import (
+    ConfigMissing,
+    ConfigRead,
+    ConfigUnchanged,
+    HistoryExpired,
+)
 
 RETURN_PORT = 8172
 OPENING = bytes.fromhex(
@@ -400,18 +410,57 @@
     assert context.waited_s <= limit_s, context.waited_s
 
 
+def watch_config(context, after):
+    """Watch the configuration for 100 ms and return the answer."""
+    return run_call(context, lambda done: context.client.watch_config(after, 0.1, done))
+
+
+@then("the configuration, the listing and a watch are of epoch {epoch:d}")
+def then_epochs(context, epoch):
+    read = run_call(context, context.client.read_config)
+    listing = run_call(context, partial(context.client.list_upstreams, True))
+    watched = watch_config(context, read.position.revision)
+    context.lost_revision = read.position.revision
+    found = (read.position.epoch, listing.epoch, watched.position.epoch)
+    assert found == (epoch, epoch, epoch), found
+
+
+@when("the stand-in store goes back to its first copy")
+def when_restored(context):
+    context.store.restore(age_s=3600.0)
+
+
+@then("the missing configuration and the listing are of epoch {epoch:d}")
+def then_missing_epoch(context, epoch):
+    missing = run_call(context, context.client.read_config)
+    assert isinstance(missing, ConfigMissing), missing
+    listing = run_call(context, partial(context.client.list_upstreams, True))
+    found = (missing.position.epoch, listing.epoch)
+    assert found == (epoch, epoch), found
+
+
+@then("a watch from the lost revision reports an expired history of epoch {epoch:d}")
+def then_watch_expired(context, epoch):
+    answer = watch_config(context, context.lost_revision)
+    assert isinstance(answer, HistoryExpired), answer
+    assert answer.position.epoch == epoch, answer
+
+
+@then("an answer whose epoch is {text} is of epoch {epoch:d}")
+def then_epoch_of_answer(context, text, epoch):
+    headers = {} if text == "missing" else {EPOCH_HEADER: text}
+    found = epoch_of(HttpResponse(200, b"", headers))
+    assert found == epoch, found
+
+
 @then("a watch of 100 ms reports no change, a change and an expired history")
 def then_watch(context):
-    def watch(after):
-        return run_call(
-            context, lambda done: context.client.watch_config(after, 0.1, done)
-        )
-
     first = run_call(context, context.client.read_config)
     assert isinstance(first, ConfigRead), first
-    assert isinstance(watch(first.revision), ConfigUnchanged)
+    after = first.position.revision
+    assert isinstance(watch_config(context, after), ConfigUnchanged)
     context.store.put("op/config", configuration(2, route("198.18.0.1", 443, "stock")))
-    changed = watch(first.revision)
+    changed = watch_config(context, after)
     assert changed.config.version == 2, changed
     context.store.history_from = 10_000
-    assert isinstance(watch(first.revision), HistoryExpired)
+    assert isinstance(watch_config(context, after), HistoryExpired)
