--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import NamedTuple, NewType
 
-from wisteriatiller.ids import FlowKey
+from wisteriatiller.ids import FlowKey, UpstreamId
 
 from .upstreams import Tag, Upstream
 
@@ -68,10 +68,26 @@
     tag: Tag
 
 
+class LossEvidence(NamedTuple):
+    """Why a flow is given up whose upstream is no longer listed.
+
+    ``missing_s`` is how long the upstream has been gone, ``repeats`` how often the
+    client has repeated the packet, and ``silent_s`` the time since any flow of the
+    upstream has progressed.
+    """
+
+    upstream_id: UpstreamId
+    has_drained: bool
+    missing_s: float
+    repeats: int
+    silent_s: float
+
+
 class Refuse(NamedTuple):
-    """Send a reset to the client."""
+    """Send a reset to the client; ``evidence`` says why a flow is lost."""
 
     reason: RefusalReason
+    evidence: LossEvidence | None = None
 
 
 class Discard(NamedTuple):
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -5,7 +5,7 @@
 
 from .directory import DirectoryEntry, UpstreamChange, UpstreamDirectory
 from .flowtable import Flow
-from .packets import Discard, Packet, Refuse, format_flow
+from .packets import Discard, LossEvidence, Packet, Refuse, format_flow
 from .ports import ConfigInvalid, StoreFailure
 from .routes import ConfigVersion, ConfigView, Route
 from .sharing import Source
@@ -84,7 +84,12 @@
 
     def packet_refused(self, packet: Packet, refusal: Refuse) -> None:
         self._counters.count("packets_refused", refusal.reason.value)
-        self._log_dropped_packet("flow_refused", packet, refusal.reason.value)
+        evidence = {}
+        if refusal.evidence is not None:
+            evidence = _evidence_fields(refusal.evidence)
+        self._log_dropped_packet(
+            "flow_refused", packet, refusal.reason.value, **evidence
+        )
 
     def packet_discarded(self, packet: Packet, discard: Discard) -> None:
         self._counters.count("packets_discarded", discard.reason.value)
@@ -240,13 +245,16 @@
             **self._state_fields(),
         )
 
-    def _log_dropped_packet(self, event: str, packet: Packet, reason: str) -> None:
+    def _log_dropped_packet(
+        self, event: str, packet: Packet, reason: str, **fields: object
+    ) -> None:
         self._log.flow_event(
             event,
             flow=format_flow(packet.flow),
             reason=reason,
             kind=packet.kind.value,
             tag=packet.tag,
+            **fields,
             **self._state_fields(),
         )
 
@@ -262,5 +270,16 @@
         }
 
 
+def _evidence_fields(evidence: LossEvidence) -> dict[str, object]:
+    is_ever_heard = evidence.silent_s < float("inf")
+    return {
+        "upstream": evidence.upstream_id,
+        "drained": str(evidence.has_drained).lower(),
+        "missing_ms": _to_ms(evidence.missing_s),
+        "repeats": evidence.repeats,
+        "silent_ms": _to_ms(evidence.silent_s if is_ever_heard else None),
+    }
+
+
 def _to_ms(age_s: float | None) -> int | str:
     return "never" if age_s is None else round(1000.0 * age_s)
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -19,6 +19,7 @@
     Discard,
     DiscardReason,
     Forward,
+    LossEvidence,
     Packet,
     PacketKind,
     RefusalReason,
@@ -252,10 +253,11 @@
             return Discard(DiscardReason.UNKNOWN_TAG)
         self._update_flow(packet, entry, now_s)
         if entry.presence is Presence.GONE and self._is_flow_lost(packet, entry, now_s):
+            evidence = self._loss_evidence(packet, entry, now_s)
             self.flows.remove(packet.flow)
             if packet.kind is PacketKind.ABORTING:
                 return Discard(DiscardReason.NO_STATE)
-            return Refuse(RefusalReason.UPSTREAM_GONE)
+            return Refuse(RefusalReason.UPSTREAM_GONE, evidence)
         return Forward(entry.upstream, packet.tag)
 
     def _is_flow_lost(
@@ -276,6 +278,20 @@
             LOST_AFTER_RETRANSMITS if self._is_upstream_alive(entry, now_s) else 1
         )
 
+    def _loss_evidence(
+        self, packet: Packet, entry: DirectoryEntry, now_s: float
+    ) -> LossEvidence:
+        upstream = entry.upstream
+        flow = self.flows.get(packet.flow, now_s)
+        health = self.outliers.health_of(upstream.upstream_id)
+        return LossEvidence(
+            upstream.upstream_id,
+            has_drained=upstream.state is UpstreamState.DRAINING,
+            missing_s=now_s - entry.presence_since_s,
+            repeats=0 if flow is None else flow.repeats,
+            silent_s=now_s - health.last_progress_at_s,
+        )
+
     def _is_upstream_alive(self, entry: DirectoryEntry, now_s: float) -> bool:
         """Whether any flow progressed lately and after the upstream's entry expired."""
         progress_s = self.outliers.health_of(
