Order listings by epoch and revision

After a restore callers were sent to an upstream that had said 3 s ago that it leaves (DRAIN, zone-28), and hosts saw no change of the upstreams for up to 22 s.

Cause: a revision was compared without the history that it belongs to.

A listing now has a position, which is its epoch and its revision, and hosts compare positions, in their messages too. A newer epoch is always taken over, an older one never; pages of two epochs make no listing. An answer without an epoch counts as the oldest.

--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -133,7 +133,7 @@
     """Assembles a listing from its pages.
 
     ``last_key`` is the last key so far, after which the next page begins, and ``epoch``
-    is that of the last page.
+    is that of its pages.
     """
 
     def __init__(self, is_current: bool):
@@ -146,6 +146,8 @@
 
     def add_page(self, body: dict, epoch: StoreEpoch = NO_EPOCH) -> bool:
         """Add one page; return whether it is the last one."""
+        if self._page_revisions and epoch != self.epoch:
+            raise ValueError(f"page of epoch {epoch} after one of {self.epoch}")
         self.epoch = epoch
         self._page_revisions.append(Revision(int(body["store_revision"])))
         items = body["items"]
--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -6,11 +6,8 @@
 from typing import NamedTuple
 
 from wisteriatiller.ids import (
-    NO_EPOCH,
-    NO_REVISION,
-    Revision,
+    NO_POSITION,
     ServiceId,
-    StoreEpoch,
     UpstreamId,
 )
 
@@ -78,15 +75,14 @@
 
 
 class UpstreamDirectory:
-    """Applies listings in the order of their revisions and indexes the entries.
+    """Applies listings in the order of their positions and indexes the entries.
 
     Reads may be stale, so a listing that is older than the applied one is rejected: it
     would bring back a drained upstream or remove a new one.
     """
 
     def __init__(self):
-        self.epoch: StoreEpoch = NO_EPOCH
-        self.revision: Revision = NO_REVISION
+        self.position = NO_POSITION
         self.last_read_at_s: float | None = None
         self.listing: Listing | None = None
         self.version = NO_LISTING
@@ -116,10 +112,13 @@
         """
         if self._is_older(listing):
             return None
+        if listing.epoch > self.position.epoch:
+            # Entries that were written after the copy may be missing until their
+            # upstreams register again.
+            self.mark_store_lost()
         if store_healthy_s is not None:
             self._extend_healthy_period(now_s - store_healthy_s)
-        self.epoch = listing.epoch
-        self.revision = listing.revision
+        self.position = listing.position
         if listing is not self.listing:
             self.listing = listing
             self.version = listing.version
@@ -203,7 +202,7 @@
         """Whether any page of a listing may be older than a page of the current one."""
         if self.listing is None or listing is self.listing:
             return False
-        return listing.revision < self.listing.newest_revision
+        return listing.position < self.listing.newest_position
 
     def _extend_healthy_period(self, since_s: float) -> None:
         if self._store_healthy_since_s is None or since_s < self._store_healthy_since_s:
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -201,7 +201,7 @@
         self._log.event(
             "host_ready",
             config_version=self.config.version,
-            directory_revision=self.directory.revision,
+            directory_revision=self.directory.position.revision,
         )
         self.data_path.start()
 
@@ -290,8 +290,8 @@
         gauge("flows", lambda: len(self.steering.flows))
         gauge("config_version", lambda: self.config.version)
         gauge("config_age_seconds", lambda: _age(self.config.age_s(now_s())))
-        gauge("directory_epoch", lambda: self.directory.epoch)
-        gauge("directory_revision", lambda: self.directory.revision)
+        gauge("directory_epoch", lambda: self.directory.position.epoch)
+        gauge("directory_revision", lambda: self.directory.position.revision)
         gauge("directory_age_seconds", lambda: _age(self.directory.age_s(now_s())))
         gauge("log_lines_left_out", lambda: self._log.dropped_lines_total)
 
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -163,7 +163,7 @@
                 presence=change.presence.value,
                 state=change.upstream.state.value,
                 cold_for_ms=change.upstream.cold_for_ms,
-                revision=self._directory.revision,
+                revision=self._directory.position.revision,
                 source=source,
             )
         if len(changes) > MAX_CHANGE_LINES:
@@ -171,7 +171,7 @@
                 "upstreams_changed",
                 count=len(changes),
                 lines_left_out=len(changes) - MAX_CHANGE_LINES,
-                revision=self._directory.revision,
+                revision=self._directory.position.revision,
                 source=source,
             )
 
@@ -222,7 +222,7 @@
         self._log.event(
             "listing_rejected",
             epoch=listing.epoch,
-            revision=listing.revision,
+            revision=listing.position.revision,
             source=source,
             **self._state_fields(),
         )
@@ -264,8 +264,8 @@
         return {
             "config_version": self._view.version,
             "config_age_ms": _to_ms(self._view.age_s(now_s)),
-            "directory_epoch": self._directory.epoch,
-            "directory_revision": self._directory.revision,
+            "directory_epoch": self._directory.position.epoch,
+            "directory_revision": self._directory.position.revision,
             "directory_age_ms": _to_ms(self._directory.age_s(now_s)),
         }
 
--- a/src/wisteriatiller/steering/sharedstate.py
+++ b/src/wisteriatiller/steering/sharedstate.py
@@ -67,7 +67,7 @@
             address=self.registry.own.address,
             zone=self.registry.own.zone,
             config_version=self.view.version,
-            directory_revision=self.directory.revision,
+            directory_position=self.directory.position,
             listing_version=self.directory.version,
             wants_peers=wants_peers,
             wants_large_config=wants_large_config,
@@ -93,12 +93,12 @@
         view, directory = self.view, self.directory
         config_age_s = view.age_s(now_s)
         listing_age_s = directory.age_s(now_s)
-        has_newer_listing = directory.revision > request.directory_revision
+        has_newer_listing = directory.position > request.directory_position
         return Snapshot(
             config_version=view.version,
             config=self._config_for(request),
             config_age_s=config_age_s,
-            directory_revision=directory.revision,
+            directory_position=directory.position,
             listing_delta=(
                 self._delta_since(request.listing_version)
                 if has_newer_listing
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -315,7 +315,7 @@
                 changes = directory.apply(listing, now_s, store_healthy_s, age_s)
                 if changes is None:
                     self._observer.listing_rejected(listing, f"peer {peer.address}")
-        elif directory.revision == snapshot.directory_revision:
+        elif directory.position == snapshot.directory_position:
             changes = directory.confirm(now_s, store_healthy_s, age_s)
         if changes:
             self._observer.directory_applied(changes, f"peer {peer.address}")
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -16,6 +16,7 @@
     Revision,
     ServiceId,
     StoreEpoch,
+    StorePosition,
     UpstreamId,
     ZoneId,
 )
@@ -48,7 +49,7 @@
     address: Address
     zone: ZoneId
     config_version: ConfigVersion
-    directory_revision: Revision
+    directory_position: StorePosition
     listing_version: ListingVersion
     wants_peers: bool
     wants_large_config: bool
@@ -68,7 +69,7 @@
     config_version: ConfigVersion
     config: RouteConfig | None
     config_age_s: float | None
-    directory_revision: Revision
+    directory_position: StorePosition
     listing_delta: ListingDelta | None
     listing_age_s: float | None
     store_healthy_s: float
@@ -82,9 +83,10 @@
 def encode_request(request: SnapshotRequest) -> str:
     """Encode a request as the query of a URL.
 
-    ``10.1.0.10:8166,quimper-a,7,530,9120434,1,0,``
+    ``10.1.0.10:8166,quimper-a,7,1.530,9120434,1,0,``
     """
     fields = request._replace(
+        directory_position=".".join(map(str, request.directory_position)),
         wants_peers=int(request.wants_peers),
         wants_large_config=int(request.wants_large_config),
         report=_encode_report(request.report),
@@ -95,13 +97,14 @@
 def decode_request(query: str) -> SnapshotRequest:
     """Decode the query of a URL; raises ``MessageError`` if it is invalid."""
     try:
-        address, zone, version, revision, listing, *wants = query.split(",")
+        address, zone, version, position, listing, *wants = query.split(",")
+        epoch, revision = map(int, position.split("."))
         wants_peers, wants_large, report = wants
         return SnapshotRequest(
             address=Address.parse(address),
             zone=ZoneId(zone),
             config_version=ConfigVersion(int(version)),
-            directory_revision=Revision(int(revision)),
+            directory_position=StorePosition(StoreEpoch(epoch), Revision(revision)),
             listing_version=ListingVersion(int(listing)),
             wants_peers=bool(int(wants_peers)),
             wants_large_config=bool(int(wants_large)),
@@ -212,7 +215,7 @@
         config_version=ConfigVersion(int(raw.config_version)),
         config=_decode_config(_unpack(raw.config)),
         config_age_s=_decode_age_s(raw.config_age_s),
-        directory_revision=Revision(int(raw.directory_revision)),
+        directory_position=_decode_position(raw.directory_position),
         listing_delta=_decode_delta(_unpack(raw.listing_delta)),
         listing_age_s=_decode_age_s(raw.listing_age_s),
         store_healthy_s=max(0.0, float(raw.store_healthy_s)),
@@ -227,6 +230,11 @@
     )
 
 
+def _decode_position(fields: list) -> StorePosition:
+    epoch, revision = fields
+    return StorePosition(StoreEpoch(int(epoch)), Revision(int(revision)))
+
+
 def _decode_fraction(part: object) -> float:
     return min(1.0, max(0.0, float(part)))
 
--- a/src/wisteriatiller/steering/status.py
+++ b/src/wisteriatiller/steering/status.py
@@ -23,8 +23,8 @@
             else len(host.config.config.routes),
         },
         "directory": {
-            "epoch": host.directory.epoch,
-            "revision": host.directory.revision,
+            "epoch": host.directory.position.epoch,
+            "revision": host.directory.position.revision,
             "age_s": host.directory.age_s(now_s),
             "steady_s": host.directory.store_healthy_s(now_s),
         },
--- a/src/wisteriatiller/steering/upstreams.py
+++ b/src/wisteriatiller/steering/upstreams.py
@@ -11,6 +11,7 @@
     Revision,
     ServiceId,
     StoreEpoch,
+    StorePosition,
     UpstreamId,
     ZoneId,
 )
@@ -60,16 +61,18 @@
     epoch: StoreEpoch = NO_EPOCH
 
     @property
-    def revision(self) -> Revision:
-        return self.page_revisions[0]
+    def position(self) -> StorePosition:
+        """The position of the oldest page, up to which the listing is complete."""
+        return StorePosition(self.epoch, self.page_revisions[0])
 
     @property
-    def newest_revision(self) -> Revision:
-        return self.page_revisions[-1]
+    def newest_position(self) -> StorePosition:
+        return StorePosition(self.epoch, self.page_revisions[-1])
 
     @property
     def version(self) -> ListingVersion:
-        return ListingVersion(xxh3_64_intdigest(repr(self.page_revisions).encode()))
+        identity = repr((self.epoch, self.page_revisions))
+        return ListingVersion(xxh3_64_intdigest(identity.encode()))
 
 
 class ListingDelta(NamedTuple):
--- a/tests/directory.feature
+++ b/tests/directory.feature
@@ -8,6 +8,24 @@
     And the previous listing is applied again
     Then upstream 1 takes no new flows
 
+  Scenario: A listing of a lost history changes nothing
+    # Incident store-restored. Guards against a late or stale read of the history before
+    # a restore, whose revisions are higher.
+    Given a directory with upstreams 1, 2 and 3
+    When the store is restored and upstream 1 drains
+    And a listing of the lost history is applied, 50 revisions further
+    Then upstream 1 takes no new flows
+
+  Scenario: An entry that is missing from a restored store is uncertain at first
+    # Incident store-restored. The entry was written after the copy was made, and the
+    # outage was too short for a failed call. Guards against resets of its flows.
+    Given a directory with upstreams 1, 2 and 3
+    When the store is restored to a copy without upstream 1
+    Then upstream 1 is uncertain
+    And upstream 1 takes new flows
+    When the listing is confirmed 3 seconds later
+    Then upstream 1 is gone
+
   Scenario: An entry that is missing from a healthy store is gone at once
     # Guards against new flows to an upstream that has left.
     Given a directory with upstreams 1, 2 and 3
@@ -67,7 +85,7 @@
 
   Scenario: Exchanging deltas ends with the store's entries
     # Guards against a change that is lost between listings of several pages, stale
-    # reads and deltas from several hosts.
+    # reads, restores of the store and deltas from several hosts.
     Then any history of changes, reads and exchanges ends with the store's entries
 
   Scenario: A change is sent to a follower as one entry, not as the whole listing
--- a/tests/platformadapter.feature
+++ b/tests/platformadapter.feature
@@ -162,6 +162,11 @@
     Given the first page of a listing with 120 entries
     Then the same page is not accepted as the second one
 
+  Scenario: Pages of two epochs make no listing
+    # Incident store-restored. Guards against a listing that mixes two histories.
+    Given the first page of a listing with 120 entries
+    Then a second page of the next epoch is not accepted
+
   Scenario: A connection that stalled while idle does not delay a call
     # Incident config-quimper. Guards against a read that waits for its timeout on a
     # reused connection that is dead without a sign of it.
--- a/tests/steeringharness.py
+++ b/tests/steeringharness.py
@@ -1,7 +1,7 @@
 """A test harness for flow steering without a network, and builders of its inputs."""
 
 from testbed.steeringparts import SERVICE_ADDRESS, route_config, steering_settings
-from wisteriatiller.ids import NO_EPOCH, FlowKey, Revision, ServiceId
+from wisteriatiller.ids import NO_EPOCH, FlowKey, Revision, ServiceId, StoreEpoch
 from wisteriatiller.steering import (
     ConfigVersion,
     Listing,
@@ -119,6 +119,7 @@
             steering_settings(zone), self.directory, self.config_view, self.observer
         )
         self.listing_revision = 0
+        self.store_epoch = StoreEpoch(1)
         self.apply_listing(*upstreams)
         self.apply_config(config or route_config(1, ("stock", 1.0)))
 
@@ -126,13 +127,23 @@
         """Apply the next listing and return the changes of the directory."""
         self.listing_revision += 1
         changes = self.directory.apply(
-            make_listing(self.listing_revision, *upstreams, unreadable=unreadable),
+            make_listing(
+                self.listing_revision,
+                *upstreams,
+                unreadable=unreadable,
+                epoch=self.store_epoch,
+            ),
             self.now_s,
             store_healthy_s,
         )
         self.steering.apply_directory_changes(changes)
         return changes
 
+    def restore_store(self):
+        """Let the next listing come from a copy of the store that is much older."""
+        self.store_epoch += 1
+        self.listing_revision = 0
+
     def apply_config(self, config):
         """Put a configuration in force and confirm it as the newest."""
         self.config_view.apply(config)
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -42,10 +42,38 @@
 
 @when("the previous listing is applied again")
 def when_previous_again(context):
-    old = make_listing(context.world.listing_revision - 1, *context.upstreams.values())
+    old = make_listing(
+        context.world.listing_revision - 1,
+        *context.upstreams.values(),
+        epoch=context.world.store_epoch,
+    )
     assert context.world.directory.apply(old, context.world.now_s) is None
 
 
+@when("the store is restored and upstream {number:d} drains")
+def when_restored_and_drains(context, number):
+    draining = context.upstreams[number]._replace(state=UpstreamState.DRAINING)
+    context.world.restore_store()
+    context.world.apply_listing(*{**context.upstreams, number: draining}.values())
+
+
+@when("a listing of the lost history is applied, {ahead:d} revisions further")
+def when_lost_history(context, ahead):
+    lost = make_listing(
+        context.world.listing_revision + ahead,
+        *context.upstreams.values(),
+        epoch=context.world.store_epoch - 1,
+    )
+    assert context.world.directory.apply(lost, context.world.now_s) is None
+
+
+@when("the store is restored to a copy without upstream {number:d}")
+def when_restored_without(context, number):
+    rest = [made for key, made in context.upstreams.items() if key != number]
+    context.world.restore_store()
+    context.world.apply_listing(*rest, store_healthy_s=0.0)
+
+
 @when("the store is lost")
 def when_lost(context):
     context.world.directory.mark_store_lost()
@@ -169,7 +197,7 @@
 
 
 class StoreHistory:
-    """The store's entries at each revision.
+    """The store's entries at each revision of each epoch.
 
     A listing has two pages, of which the first may be older.
     """
@@ -178,7 +206,15 @@
     SECOND_PAGE_START = "d"
 
     def __init__(self):
-        self.states = [{}]
+        self.epochs = [[{}]]
+
+    @property
+    def states(self):
+        return self.epochs[-1]
+
+    def restore(self, lost):
+        """Go back by some revisions, which the next epoch gives out again."""
+        self.epochs.append(self.states[: max(1, len(self.states) - lost)])
 
     def change(self, name, slots):
         state = dict(self.states[-1])
@@ -188,26 +224,28 @@
             state.pop(name, None)
         self.states.append(state)
 
-    def read(self, lag, page_gap):
-        last = max(0, len(self.states) - 1 - lag)
+    def read(self, lag, page_gap, epochs_back=0):
+        epoch = max(1, len(self.epochs) - epochs_back)
+        states = self.epochs[epoch - 1]
+        last = max(0, len(states) - 1 - lag)
         first = max(0, last - page_gap)
         entries = [
             made
-            for name, made in sorted(self.states[first].items())
+            for name, made in sorted(states[first].items())
             if name < self.SECOND_PAGE_START
         ]
         entries += [
             made
-            for name, made in sorted(self.states[last].items())
+            for name, made in sorted(states[last].items())
             if name >= self.SECOND_PAGE_START
         ]
         # Revisions of a store begin above 0.
-        return Listing((first + 1, last + 1), tuple(entries), frozenset())
+        return Listing((first + 1, last + 1), tuple(entries), frozenset(), epoch)
 
 
 def send_delta(sender, receiver):
     """Send the delta that the receiver lacks, as hosts do."""
-    if sender.listing is None or sender.revision <= receiver.revision:
+    if sender.listing is None or sender.position <= receiver.position:
         return
     received = sender.delta_since(receiver.version).apply_to(receiver.listing)
     assert received is not None
@@ -225,6 +263,14 @@
     strategies.integers(0, HOSTS - 1),
     strategies.integers(0, 3),
 )
+STALE_READS = strategies.tuples(
+    strategies.just("read_lost_epoch"),
+    strategies.integers(0, HOSTS - 1),
+    strategies.integers(0, 3),
+)
+RESTORES = strategies.tuples(
+    strategies.just("restore"), strategies.integers(1, 6), strategies.just(None)
+)
 DELTAS = strategies.tuples(
     strategies.just("share"),
     strategies.integers(0, HOSTS - 1),
@@ -234,7 +280,9 @@
 
 @settings(max_examples=400, deadline=None, derandomize=True)
 @hypothesis_given(
-    strategies.lists(strategies.one_of(CHANGES, READS, DELTAS), max_size=40),
+    strategies.lists(
+        strategies.one_of(CHANGES, READS, STALE_READS, RESTORES, DELTAS), max_size=40
+    ),
     strategies.integers(0, 2),
 )
 def check_histories(steps, page_gap):
@@ -243,10 +291,12 @@
     for kind, first, second in steps:
         if kind == "change":
             store.change(first, second)
-        elif kind == "read":
-            hosts[first].apply(
-                store.read(second, page_gap), 1000.0, store_healthy_s=60.0
-            )
+        elif kind == "restore":
+            store.restore(lost=first)
+        elif kind.startswith("read"):
+            epochs_back = 1 if kind == "read_lost_epoch" else 0
+            read = store.read(second, page_gap, epochs_back)
+            hosts[first].apply(read, 1000.0, store_healthy_s=60.0)
         else:
             send_delta(hosts[first], hosts[second])
     hosts[0].apply(store.read(0, 0), 1000.0, store_healthy_s=60.0)
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -340,6 +340,17 @@
     raise AssertionError("the page was accepted twice")
 
 
+@then("a second page of the next epoch is not accepted")
+def then_page_of_epoch_rejected(context):
+    builder = ListingBuilder(is_current=True)
+    assert not builder.add_page(context.page, epoch=1)
+    try:
+        builder.add_page({**context.page, "items": []}, epoch=2)
+    except ValueError:
+        return
+    raise AssertionError(builder.build())
+
+
 @given("no store at the address")
 def given_no_store(context):
     make_client(context, Address("127.0.0.1", 1))
