Read the configuration again when a watch is answered in another epoch

A watch asks for the changes after a revision. If the store is restored while the watch is on its way, and has given that revision out again by the time it answers, the answer misses what was written below it: all hosts kept configuration 2 while the store held 3 (storerestore.feature). On the users' platform it was not seen; there each outage breaks the watches, and a broken watch is followed by a read.

The watcher keeps a position, takes an answer only if it belongs to the newest epoch that it has seen, and a watch's answer only if it is of the epoch that the watch began in. Otherwise it confirms nothing and reads again.

--- a/src/wisteriatiller/steering/storepolling.py
+++ b/src/wisteriatiller/steering/storepolling.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from wisteriatiller.ids import NO_REVISION, Address, Revision, StoreEpoch
+from wisteriatiller.ids import NO_EPOCH, NO_POSITION, Address, StoreEpoch
 from wisteriatiller.network.loop import Scheduler, Timer
 
 from .directory import UpstreamChange, UpstreamDirectory
@@ -154,7 +154,11 @@
     ):
         super().__init__(settings, scheduler, store, observer)
         self._view = view
-        self._revision: Revision = NO_REVISION
+        # Up to where in the history of the store the view is known to be current.
+        self._position = NO_POSITION
+        # The newest epoch of any answer, and that of the position of the last watch.
+        self._epoch = NO_EPOCH
+        self._watched_epoch = NO_EPOCH
         # The wait that the last watch asked for.
         self._watch_wait_s = 0.0
 
@@ -162,7 +166,7 @@
         """Read now, then watch until ``pause`` is called."""
         if not self._is_active:
             self._is_active = True
-            self._revision = NO_REVISION
+            self._position = NO_POSITION
             if not self._is_call_pending:
                 self._call_store()
 
@@ -177,7 +181,7 @@
         if not self._is_active or self._is_call_pending:
             return
         self._is_call_pending = True
-        if self._revision == NO_REVISION:
+        if self._position == NO_POSITION:
             self._read()
         else:
             self._watch()
@@ -193,8 +197,9 @@
         self._called_at_s = self._scheduler.now_s()
         age_s = self._view.age_s(self._called_at_s) or 0.0
         self._watch_wait_s = max(self._settings.watch_wait_s - age_s, MIN_WATCH_WAIT_S)
+        self._watched_epoch = self._position.epoch
         self._store.watch_config(
-            self._revision,
+            self._position.revision,
             self._watch_wait_s,
             lambda answer: self._handle_answer("watch_config", answer),
         )
@@ -207,13 +212,16 @@
             delay_s = self._backoff.next_delay_s()
             self._report_failure(call, answer)
             # Whatever failed, a plain read returns the newest configuration.
-            self._revision = NO_REVISION
+            self._position = NO_POSITION
             if call == "watch_config" and waited_s > self._watch_wait_s:
                 delay_s = 0.0
         else:
             self._backoff.reset()
             self._observer.store_answered(call, waited_s, answer.position.epoch)
-            self._apply_answer(answer, self._confirmed_until_s(call, answer))
+            if self._is_current(call, answer):
+                self._apply_answer(answer, self._confirmed_until_s(call, answer))
+            else:
+                self._position = NO_POSITION
             if isinstance(answer, ConfigMissing):
                 delay_s = self._settings.store_retry_s
             elif call == "read_config":
@@ -237,11 +245,21 @@
             return self._called_at_s + self._watch_wait_s
         return self._called_at_s
 
+    def _is_current(self, call: str, answer: ConfigAnswer) -> bool:
+        """Whether the answer tells what the newest epoch of the store holds.
+
+        A watch that is answered in another epoch than it began in may miss changes: the
+        store has given revisions out again.
+        """
+        epoch = answer.position.epoch
+        is_newest = epoch >= self._epoch
+        self._epoch = max(epoch, self._epoch)
+        is_continued = call == "read_config" or epoch == self._watched_epoch
+        is_expired = isinstance(answer, HistoryExpired)
+        return is_newest and is_continued and not is_expired
+
     def _apply_answer(self, answer: ConfigAnswer, confirmed_until_s: float) -> None:
-        if isinstance(answer, HistoryExpired):
-            self._revision = NO_REVISION
-            return
-        self._revision = answer.position.revision
+        self._position = answer.position
         unconfirmed_s = self._view.age_s(self._scheduler.now_s())
         self._view.confirm(confirmed_until_s)
         if isinstance(answer, ConfigInvalid):
--- a/tests/steps/storerestore_steps.py
+++ b/tests/steps/storerestore_steps.py
@@ -1,9 +1,15 @@
 """Steps for a store that is restored from a copy."""
 
-from behave import when
+from behave import given, then, when
 
-from testbed.steeringparts import upstream
+from testbed.steeringparts import VirtualScheduler, steering_settings, upstream
+from tests.fakestore import TIMEOUT
 from tests.sharingfleet import single_route_config
+from tests.steeringfakes import RecordingStateObserver
+from wisteriatiller.ids import Revision, StoreEpoch, StorePosition
+from wisteriatiller.steering.ports import ConfigRead, ConfigUnchanged, StoreReader
+from wisteriatiller.steering.routes import ConfigView
+from wisteriatiller.steering.storepolling import ConfigWatcher
 
 
 @when("a copy of the store is made")
@@ -53,3 +59,84 @@
     store = context.fleet.store
     store.put_config(single_route_config(version))
     store.put_upstreams(context.scheduler.now_s(), *store.upstreams)
+
+
+class ManualStore(StoreReader):
+    """Keeps the last call about the configuration until a step answers it."""
+
+    def __init__(self):
+        self.call = None
+        self._on_answer = None
+
+    def read_config(self, on_answer):
+        self.call, self._on_answer = "read", on_answer
+
+    def watch_config(self, after, wait_s, on_answer):
+        self.call, self._on_answer = "watch", on_answer
+
+    def list_upstreams(self, is_current, on_answer):
+        raise NotImplementedError
+
+    def set_address(self, address):
+        raise NotImplementedError
+
+    def answer(self, call, answer):
+        assert self.call == call, self.call
+        self._on_answer(answer)
+
+
+@given("a watcher whose calls are answered by hand")
+def given_watcher(context):
+    context.scheduler = VirtualScheduler()
+    context.store = ManualStore()
+    context.view = ConfigView()
+    context.watcher = ConfigWatcher(
+        steering_settings(),
+        context.scheduler,
+        context.store,
+        context.view,
+        RecordingStateObserver(context.scheduler),
+    )
+    context.watcher.resume()
+    context.first_read_at_s = context.scheduler.now_s()
+
+
+@when(
+    "a read is answered with configuration {version:d} of epoch {epoch:d}, revision "
+    "{revision:d}"
+)
+def when_read_answered(context, version, epoch, revision):
+    position = StorePosition(StoreEpoch(epoch), Revision(revision))
+    answer = ConfigRead(position, single_route_config(version))
+    context.store.answer("read", answer)
+    context.scheduler.run_for(1.0)
+
+
+@when("the watcher pauses and resumes")
+def when_paused(context):
+    context.watcher.pause()
+    context.scheduler.run_for(0.2)
+    context.watcher.resume()
+
+
+@when("a watch is answered without a change in epoch {epoch:d}, revision {revision:d}")
+def when_watch_answered(context, epoch, revision):
+    position = StorePosition(StoreEpoch(epoch), Revision(revision))
+    context.store.answer("watch", ConfigUnchanged(position))
+    context.scheduler.run_for(1.0)
+
+
+@when("a watch fails")
+def when_watch_fails(context):
+    context.store.answer("watch", TIMEOUT)
+    context.scheduler.run_for(1.0)
+
+
+@then("the next call is a read")
+def then_reads(context):
+    assert context.store.call == "read", context.store.call
+
+
+@then("the configuration has not been confirmed since the first read")
+def then_not_confirmed(context):
+    assert context.view.confirmed_at_s == context.first_read_at_s
--- a/tests/storerestore.feature
+++ b/tests/storerestore.feature
@@ -36,3 +36,23 @@
     And configuration 3 is published at the revision that was lost
     And 3 seconds of sharing pass
     Then every host runs configuration 3
+
+  Scenario: A watch that was pending while its host did not read hides no change
+    # Incident store-restored. Guards against an answer of the new epoch to a watch of
+    # the old one that has been taken over by a second life of the watcher.
+    Given a watcher whose calls are answered by hand
+    When a read is answered with configuration 1 of epoch 1, revision 7
+    And the watcher pauses and resumes
+    And a watch is answered without a change in epoch 2, revision 9
+    Then the next call is a read
+    And the configuration has not been confirmed since the first read
+
+  Scenario: A late answer of a lost history confirms nothing
+    # Incident store-restored. Guards against a host that believes that it has the
+    # newest configuration because of an answer from before the restore.
+    Given a watcher whose calls are answered by hand
+    When a read is answered with configuration 1 of epoch 2, revision 3
+    And a watch fails
+    And a read is answered with configuration 1 of epoch 1, revision 30
+    Then the next call is a read
+    And the configuration has not been confirmed since the first read
