Tell a new request from a retransmission by the data that it holds

Cause: the packet was not a repeat. A client acknowledges an answer in a packet without data, and its next request has the same sequence number; we compared sequence numbers only, so each request after a pause counted as a retransmission. It also counted against the health of upstreams, and neither the response time nor the missing answer of such a request was recorded.

A packet is new if it ends after all data so far, and a retransmission otherwise.

--- a/src/wisteriatiller/steering/flowtable.py
+++ b/src/wisteriatiller/steering/flowtable.py
@@ -10,9 +10,10 @@
 
 from wisteriatiller.ids import FlowKey, UpstreamId
 
+from .packets import SEQUENCE_RANGE
+
 MAX_FLOWS = 100_000
-_SEQUENCE_RANGE = 1 << 32
-_HALF_RANGE = 1 << 31
+_HALF_RANGE = SEQUENCE_RANGE // 2
 
 
 class FlowState(Enum):
@@ -26,8 +27,9 @@
 class Flow:
     """The state of one flow.
 
-    ``sequence`` is that of the client's newest packet, sent at ``sent_at_s``, and
-    ``repeats`` counts retransmissions since the client last acknowledged new data.
+    ``next_sequence`` is the sequence number after all data that the client has sent,
+    the newest of it at ``sent_at_s``; None until the flow is open. ``repeats`` counts
+    retransmissions since the client last acknowledged new data.
     ``tried`` holds the upstreams that left an opening packet unanswered.
     """
 
@@ -36,10 +38,11 @@
         "asked_at_s",
         "key",
         "last_seen_s",
+        "next_sequence",
         "opened_at_s",
+        "opening_sequence",
         "repeats",
         "sent_at_s",
-        "sequence",
         "state",
         "tried",
         "upstream_id",
@@ -52,7 +55,8 @@
         self.opened_at_s = now_s
         self.last_seen_s = now_s
         self.tried: tuple[UpstreamId, ...] = ()
-        self.sequence = 0
+        self.opening_sequence: int | None = None
+        self.next_sequence: int | None = None
         self.sent_at_s = now_s
         self.acknowledged = 0
         self.repeats = 0
@@ -66,7 +70,7 @@
     >>> is_sequence_after(5, 4294967290)
     True
     """
-    return 0 < (number - other) % _SEQUENCE_RANGE < _HALF_RANGE
+    return 0 < (number - other) % SEQUENCE_RANGE < _HALF_RANGE
 
 
 class FlowTable:
--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -15,6 +15,10 @@
 ServiceAddress = NewType("ServiceAddress", bytes)
 
 
+# Sequence numbers count the bytes of a flow modulo this.
+SEQUENCE_RANGE = 1 << 32
+
+
 class PacketKind(Enum):
     """The role of a packet in its flow, by the flags in its header."""
 
@@ -42,6 +46,11 @@
     payload_bytes: int
     retransmit_count: int = 0
 
+    @property
+    def end_sequence(self) -> int:
+        """The sequence number after the last byte of the payload."""
+        return (self.sequence + self.payload_bytes) % SEQUENCE_RANGE
+
 
 class RefusalReason(Enum):
     """Why a flow is reset; the values are written to logs and metrics."""
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -183,7 +183,7 @@
 
         If not, it opens a new flow under the same key.
         """
-        return packet.retransmit_count > 0 or flow.sequence == packet.sequence
+        return packet.retransmit_count > 0 or flow.opening_sequence == packet.sequence
 
     def _has_opening_timed_out(self, flow: Flow, now_s: float) -> bool:
         """Whether the flow is unopened although its last packet had time for an answer.
@@ -224,7 +224,7 @@
         else:
             self.flows.reassign(flow, upstream_id)
             flow.tried = tried
-        flow.sequence = packet.sequence
+        flow.opening_sequence = packet.sequence
         flow.sent_at_s = now_s
         self._unconfirmed_openings.append(flow)
         reason = (
@@ -338,17 +338,26 @@
             return
         if not packet.payload_bytes:
             return
-        if is_sequence_after(packet.sequence, flow.sequence):
-            flow.sequence = packet.sequence
+        if self._has_new_data(flow, packet):
+            flow.next_sequence = packet.end_sequence
             flow.sent_at_s = now_s
             self._record_request(flow, packet, now_s)
         elif now_s - flow.sent_at_s >= MIN_RETRANSMIT_INTERVAL_S:
             flow.repeats += 1
             self._record_missing_answer(flow, now_s, is_opening=False)
 
+    def _has_new_data(self, flow: Flow, packet: Packet) -> bool:
+        """Whether a packet holds data that no packet of the flow held before.
+
+        The sequence number alone does not tell: a packet that only acknowledges has
+        that of the next request.
+        """
+        return is_sequence_after(packet.end_sequence, flow.next_sequence)
+
     def _store_sequence_numbers(self, flow: Flow, packet: Packet, now_s: float) -> None:
         flow.acknowledged = packet.acknowledged
-        flow.sequence = packet.sequence
+        if flow.next_sequence is None or self._has_new_data(flow, packet):
+            flow.next_sequence = packet.end_sequence
         flow.sent_at_s = now_s
         flow.repeats = 0
 
