Give up a flow of a missing upstream only for more than one lost packet

It now takes two retransmissions, or one if another flow of the upstream is retransmitted too; three, as before, if the upstream answers others. The scenario 'A flow of an expired upstream that does not answer is refused' asked for the reset after one retransmission and is replaced by two: one lost packet (failed before) and an upstream that answers none of its flows.

--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -13,7 +13,7 @@
 from .directory import DirectoryEntry, Presence, UpstreamChange, UpstreamDirectory
 from .flowtable import Flow, FlowState, FlowTable, is_sequence_after
 from .latencies import LatencyRecorder
-from .outlierdetection import OutlierDetector
+from .outlierdetection import SUSPECT_FLOWS, OutlierDetector
 from .packets import (
     Decision,
     Discard,
@@ -42,6 +42,8 @@
 # Retransmissions after which a flow is lost, if its upstream is gone from the directory
 # but alive. Clients double the wait before each, so this many take more than a second.
 LOST_AFTER_RETRANSMITS = 3
+# The same for a flow that is the only sign of its upstream: one packet may be lost.
+LOST_AFTER_RETRANSMITS_ALONE = 2
 # Several times the response time of most upstreams.
 REQUEST_TIMEOUT_S = 0.6
 
@@ -272,11 +274,15 @@
         if entry.upstream.state is UpstreamState.DRAINING:
             return True
         flow = self.flows.get(packet.flow, now_s)
-        if flow is None:
-            return False
-        return flow.repeats >= (
-            LOST_AFTER_RETRANSMITS if self._is_upstream_alive(entry, now_s) else 1
-        )
+        return flow is not None and flow.repeats >= self._repeats_of_loss(entry, now_s)
+
+    def _repeats_of_loss(self, entry: DirectoryEntry, now_s: float) -> int:
+        """How many retransmissions show that an upstream no longer answers a flow."""
+        if self._is_upstream_alive(entry, now_s):
+            return LOST_AFTER_RETRANSMITS
+        health = self.outliers.health_of(entry.upstream.upstream_id)
+        is_confirmed = health.retransmitting_flows() >= SUSPECT_FLOWS
+        return 1 if is_confirmed else LOST_AFTER_RETRANSMITS_ALONE
 
     def _loss_evidence(
         self, packet: Packet, entry: DirectoryEntry, now_s: float
