Keep new flows off a draining upstream that a restored store lists as ready

The copy that a store comes back from is older than some drains. With listings in order of epochs, hosts take it over at once and would send new flows to an upstream that has said that it leaves, or has left, until it or its lease says so again.

Class: the copy's word about a lifetime is older than what hosts have seen. The entry's state stays what the store lists, so that deltas between hosts stay right; the random histories compare the entries, too, now.

--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -51,10 +51,13 @@
     """An upstream and its presence, which it has had since ``presence_since_s``.
 
     ``changed_generation`` is the directory generation of the entry's last change.
+    ``is_withdrawn`` says that the upstream had begun to leave before the store was
+    restored to a copy in which it is ready.
     """
 
     __slots__ = (
         "changed_generation",
+        "is_withdrawn",
         "presence",
         "presence_since_s",
         "tag",
@@ -67,11 +70,12 @@
         self.tag = upstream_tag(upstream.upstream_id)
         self.presence = Presence.LISTED
         self.presence_since_s = now_s
+        self.is_withdrawn = False
 
     def takes_new_flows(self) -> bool:
-        if self.presence in (Presence.LISTED, Presence.UNCERTAIN):
-            return self.upstream.state is UpstreamState.READY
-        return False
+        is_present = self.presence in (Presence.LISTED, Presence.UNCERTAIN)
+        is_ready = self.upstream.state is UpstreamState.READY
+        return is_present and is_ready and not self.is_withdrawn
 
 
 class UpstreamDirectory:
@@ -214,11 +218,31 @@
             entry = DirectoryEntry(upstream, now_s, self._generation)
             self._entries[upstream.upstream_id] = entry
             return UpstreamChange(upstream, Presence.LISTED)
-        if entry.upstream == upstream and entry.presence is Presence.LISTED:
+        is_withdrawn = self._is_withdrawn(entry, upstream, now_s)
+        is_known = entry.upstream == upstream and entry.presence is Presence.LISTED
+        if is_known and entry.is_withdrawn == is_withdrawn:
             return None
         entry.upstream = upstream
+        entry.is_withdrawn = is_withdrawn
         return self._set_presence(entry, Presence.LISTED, now_s)
 
+    def _is_withdrawn(
+        self, entry: DirectoryEntry, upstream: Upstream, now_s: float
+    ) -> bool:
+        """Whether a listing takes back that an upstream leaves.
+
+        An upstream does not return from draining in the same lifetime, but the store
+        does if it is restored. What was known counts until the upstream has had the
+        time to write its state again.
+        """
+        was_leaving = (
+            entry.is_withdrawn or entry.upstream.state is UpstreamState.DRAINING
+        )
+        is_same_lifetime = entry.upstream.started_ms == upstream.started_ms
+        is_settling = self.store_healthy_s(now_s) < REREGISTRATION_GRACE_S
+        is_ready = upstream.state is UpstreamState.READY
+        return was_leaving and is_same_lifetime and is_ready and is_settling
+
     def _mark_missing(
         self, listing: Listing, now_s: float
     ) -> list[UpstreamChange | None]:
--- a/tests/directory.feature
+++ b/tests/directory.feature
@@ -26,6 +26,31 @@
     When the listing is confirmed 3 seconds later
     Then upstream 1 is gone
 
+  Scenario: A copy that lists a draining upstream as ready brings it no new flows
+    # Incident store-restored. The copy is older than the drain. Guards against new flows
+    # to an upstream that leaves, until it has written its state again.
+    Given a directory with upstreams 1, 2 and 3
+    When upstream 1 drains
+    And the store is restored to a copy with all upstreams
+    Then upstream 1 takes no new flows
+    When the listing is confirmed 3 seconds later
+    Then upstream 1 takes new flows
+
+  Scenario: A copy that lists an upstream that has left brings it no new flows
+    # Incident store-restored. Guards against new flows to an upstream that has ended.
+    Given a directory with upstreams 1, 2 and 3
+    When upstream 1 drains
+    And upstream 1 is missing and the store has been healthy for 10 seconds
+    And the store is restored to a copy with all upstreams
+    Then upstream 1 takes no new flows
+
+  Scenario: A new lifetime of a drained upstream takes new flows after a restore
+    # Guards against an upstream that is left out for what its former process said.
+    Given a directory with upstreams 1, 2 and 3
+    When upstream 1 drains
+    And the store is restored and upstream 1 restarts
+    Then upstream 1 takes new flows
+
   Scenario: An entry that is missing from a healthy store is gone at once
     # Guards against new flows to an upstream that has left.
     Given a directory with upstreams 1, 2 and 3
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -9,7 +9,7 @@
 from tests.steeringharness import SteeringHarness, make_listing, opening_packet
 from wisteriatiller.ids import Address
 from wisteriatiller.steering import Listing, UpstreamState
-from wisteriatiller.steering.directory import UpstreamDirectory
+from wisteriatiller.steering.directory import Presence, UpstreamDirectory
 from wisteriatiller.steering.outlierdetection import HealthState
 from wisteriatiller.steering.upstreams import NO_LISTING
 
@@ -74,6 +74,21 @@
     context.world.apply_listing(*rest, store_healthy_s=0.0)
 
 
+@when("the store is restored to a copy with all upstreams")
+def when_restored_with_all(context):
+    context.world.restore_store()
+    context.world.apply_listing(*context.upstreams.values(), store_healthy_s=0.0)
+
+
+@when("the store is restored and upstream {number:d} restarts")
+def when_restored_and_restarts(context, number):
+    again = context.upstreams[number]._replace(started_ms=2)
+    context.world.restore_store()
+    context.world.apply_listing(
+        *{**context.upstreams, number: again}.values(), store_healthy_s=0.0
+    )
+
+
 @when("the store is lost")
 def when_lost(context):
     context.world.directory.mark_store_lost()
@@ -219,7 +234,8 @@
     def change(self, name, slots):
         state = dict(self.states[-1])
         if slots:
-            state[name] = upstream(name, slots=slots)
+            made_state = UpstreamState.DRAINING if slots > 1 else UpstreamState.READY
+            state[name] = upstream(name, slots=slots, state=made_state)
         else:
             state.pop(name, None)
         self.states.append(state)
@@ -249,7 +265,7 @@
         return
     received = sender.delta_since(receiver.version).apply_to(receiver.listing)
     assert received is not None
-    receiver.apply(received, 1000.0, store_healthy_s=60.0)
+    receiver.apply(received, 1000.0, store_healthy_s=0.0)
 
 
 HOSTS = 3
@@ -296,13 +312,20 @@
         elif kind.startswith("read"):
             epochs_back = 1 if kind == "read_lost_epoch" else 0
             read = store.read(second, page_gap, epochs_back)
-            hosts[first].apply(read, 1000.0, store_healthy_s=60.0)
+            hosts[first].apply(read, 1000.0, store_healthy_s=0.0)
         else:
             send_delta(hosts[first], hosts[second])
-    hosts[0].apply(store.read(0, 0), 1000.0, store_healthy_s=60.0)
+    hosts[0].apply(store.read(0, 0), 1000.0, store_healthy_s=0.0)
+    newest = set(store.states[-1].values())
     for host in hosts[1:]:
         send_delta(hosts[0], host)
-        assert set(host.listing.upstreams) == set(store.states[-1].values())
+        assert set(host.listing.upstreams) == newest
+        listed = {
+            entry.upstream
+            for entry in host.entries()
+            if entry.presence is Presence.LISTED
+        }
+        assert listed == newest
 
 
 @then("any history of changes, reads and exchanges ends with the store's entries")
