Learn a configuration that a restored store lacks from the hosts that have it

While the copy holds an older configuration, a host that starts reads that one and gives it to its zone as its reader, though its followers have the newer one: 2 s after the start three of twelve hosts still had it (storerestore.feature). Readers asked a random peer each 3 s only. A large configuration, which hosts only announce, was asked of the store again and again, which had lost it.

A host whose request shows a newer configuration is asked for it at the next interval. If a read for an announced version finds an older one, the host asks peers for the content.

--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -76,6 +76,8 @@
         self._requested_at_s = 0.0
         # Why each host asked in this interval cannot be the reader, for the log.
         self._decline_reasons: list[str] = []
+        # A host that has a newer configuration, as its request has shown.
+        self._peer_ahead: Peer | None = None
         # Until when this host assumes that the hosts before it have lost the store.
         self._store_lost_until_s = float("-inf")
 
@@ -97,6 +99,8 @@
         is_reading = reads_itself and not has_lost_store
         now_s = self._scheduler.now_s()
         reader = None if self._reader is None else self._reader.address
+        if request.config_version > self._state.view.version:
+            self._peer_ahead = Peer(request.address, request.zone)
         self._zone_latencies.add_report(request.address, request.report, now_s)
         shares = self._zone_latencies.update_shares(now_s) if is_reading else {}
         return self._state.build_snapshot(
@@ -167,13 +171,24 @@
             "; ".join(self._decline_reasons)
             or "no available peer comes before this host"
         )
+        peer = self._choose_peer(now_s)
+        if peer is not None:
+            self._request_snapshot(peer, self._handle_peer_snapshot)
+
+    def _choose_peer(self, now_s: float) -> Peer | None:
+        """A host that a reader asks beside the store; None if it need not ask any.
+
+        A restored store may hold an older configuration than other hosts.
+        """
+        peer_ahead, self._peer_ahead = self._peer_ahead, None
+        if peer_ahead is not None:
+            return peer_ahead
         needs_snapshot = self._has_lost_store() or self._state.directory.listing is None
         is_due = now_s - self._peers_exchanged_at_s >= PEER_EXCHANGE_INTERVAL_S
         available_peers = self._registry.available_peers(now_s)
         if available_peers and (needs_snapshot or is_due):
-            self._request_snapshot(
-                random.choice(available_peers), self._handle_peer_snapshot
-            )
+            return random.choice(available_peers)
+        return None
 
     def _request_snapshot(
         self, peer: Peer, handle: Callable[[Peer, Snapshot | None], None]
@@ -196,10 +211,11 @@
         self._client.fetch(peer.address, request, finish)
 
     def _wants_large_config(self) -> bool:
-        """Whether this host has no configuration yet, or its store calls fail."""
+        """Whether this host cannot read the newest configuration from the store."""
         pollers = (self._config_watcher, self._directory_poller)
         is_failing = any(poller.is_failing() for poller in pollers)
-        return is_failing or self._state.view.config is None
+        is_missing = self._config_watcher.is_named_version_missing()
+        return is_failing or is_missing or self._state.view.config is None
 
     def _handle_reader_snapshot(self, peer: Peer, snapshot: Snapshot | None) -> None:
         now_s = self._scheduler.now_s()
--- a/src/wisteriatiller/steering/storepolling.py
+++ b/src/wisteriatiller/steering/storepolling.py
@@ -18,7 +18,7 @@
     StoreFailure,
     StoreReader,
 )
-from .routes import ConfigVersion, ConfigView
+from .routes import NO_VERSION, ConfigVersion, ConfigView
 from .settings import SteeringSettings
 from .upstreams import Listing
 
@@ -159,6 +159,10 @@
         # The newest epoch of any answer, and that of the position of the last watch.
         self._epoch = NO_EPOCH
         self._watched_epoch = NO_EPOCH
+        # The version that the last read on an announcement was made for, and the last
+        # one that such a read has not found.
+        self._wanted_version = NO_VERSION
+        self._missing_version = NO_VERSION
         # The wait that the last watch asked for.
         self._watch_wait_s = 0.0
 
@@ -175,8 +179,13 @@
         self._observer.config_named(version, peer, is_deferred=self._is_call_pending)
         if not self._is_call_pending:
             self._is_call_pending = True
+            self._wanted_version = version
             self._read()
 
+    def is_named_version_missing(self) -> bool:
+        """Whether the store was read for an announced version and had an older one."""
+        return self._missing_version > self._view.version
+
     def _call_store(self) -> None:
         if not self._is_active or self._is_call_pending:
             return
@@ -217,6 +226,8 @@
                 delay_s = 0.0
         else:
             self._backoff.reset()
+            if call == "read_config":
+                self._missing_version = self._wanted_version
             self._observer.store_answered(call, waited_s, answer.position.epoch)
             if self._is_current(call, answer):
                 self._apply_answer(answer, self._confirmed_until_s(call, answer))
--- a/tests/storerestore.feature
+++ b/tests/storerestore.feature
@@ -37,6 +37,31 @@
     And 3 seconds of sharing pass
     Then every host runs configuration 3
 
+  Scenario: Hosts that have read an older configuration learn the newer one from others
+    # Incident store-restored. The copy holds an older configuration, and the operator
+    # has not written his again. Guards against readers that start in this time and
+    # give their zone the older one, while their followers know better.
+    Given 12 sharing hosts in 3 zones that know one seed
+    When 20 seconds of sharing pass
+    And a copy of the store is made
+    And configuration 2 is published and 3 seconds pass
+    And the store comes back from the copy at once
+    And the readers stop
+    And the stopped hosts start again and 2 seconds pass
+    Then every host runs configuration 2
+
+  Scenario: A large configuration that the copy lacks is learned from others
+    # Incident store-restored. Hosts announce a large configuration, and each reads it
+    # from the store. Guards against a version that the store has lost.
+    Given 12 sharing hosts in 3 zones that know one seed
+    When 20 seconds of sharing pass
+    And a copy of the store is made
+    And configuration 2 with 450 routes is published and 3 seconds pass
+    And the store comes back from the copy at once
+    And the readers stop
+    And the stopped hosts start again and 3 seconds pass
+    Then every host runs configuration 2
+
   Scenario: A watch that was pending while its host did not read hides no change
     # Incident store-restored. Guards against an answer of the new epoch to a watch of
     # the old one that has been taken over by a second life of the watcher.
