--- a/testbed/platformstandin.py
+++ b/testbed/platformstandin.py
@@ -73,6 +73,9 @@
     def remove(self, key: str) -> None:
         self._call(self._put, key, None)
 
+    def keys(self, prefix: str) -> set[str]:
+        return {key for key in self._items if key.startswith(prefix)}
+
     def restore(self, age_s: float) -> None:
         """Go back to the copy from ``age_s`` ago; what was written since is lost."""
         self._call(self._restore, age_s)
--- a/tests/configbound.feature
+++ b/tests/configbound.feature
@@ -108,3 +108,5 @@
       | 1    | silent_connections |
       | 3    | silent_link        |
       | 253  | all                |
+      | 1    | restore            |
+      | 2    | all,restore        |
--- a/tests/hostsoak.py
+++ b/tests/hostsoak.py
@@ -7,10 +7,11 @@
 
 Hosts are started, and paused, killed and stopped by signals. Their links to the store
 go through fault proxies that delay, reset and silence connections. The store refuses
-or garbles all calls, upstreams drain, crash and hand their address to an upstream of
-another service, and the configuration changes. Clients send packets throughout, and
-each packet may go through any host. Exit status 1 means that a guarantee was violated:
-the line names it, and the logs are kept in the directory that is printed.
+or garbles all calls or comes back from an older copy, upstreams drain, crash and hand
+their address to an upstream of another service, and the configuration changes. Clients
+send packets throughout, and each packet may go through any host. Exit status 1 means
+that a guarantee was violated: the line names it, and the logs are kept in the directory
+that is printed.
 """
 
 import argparse
@@ -35,6 +36,7 @@
     route,
 )
 
+CONFIG_KEY = "op/config"
 HOST_COUNT = 6
 SERVICES = ("stock", "sheet")
 UPSTREAMS_PER_SERVICE = 3
@@ -60,6 +62,10 @@
 FAULT_LENGTH_S = (0.5, 3.0)
 CONFIG_DELAY_AFTER_STALL_S = (0.0, 1.0)
 ADDRESS_REUSE_DELAY_S = 2.0
+# How old the copy is that the store is restored to, and how soon after that the
+# operator and the upstreams have written again what is lost.
+COPY_AGE_S = (1.0, 10.0)
+MAX_REWRITE_DELAY_S = 1.0
 START_TIMEOUT_S = 20.0
 
 
@@ -173,13 +179,26 @@
         self._store_disturbed_at_s = time.monotonic()
         self._schedule(self._draw_fault_length_s(), self._restore_store)
 
+    def restore_store_from_copy(self) -> None:
+        """Make the store unavailable and bring it back from an older copy."""
+        self._store.mode = StoreMode.REFUSING
+        age_s = self._rng.uniform(*COPY_AGE_S)
+        rewrite_delay_s = self._rng.uniform(0.0, MAX_REWRITE_DELAY_S)
+
+        def restore() -> None:
+            self._store.restore(age_s)
+            self._restore_store()
+            self._schedule(rewrite_delay_s, self._write_again)
+
+        self._schedule(self._draw_fault_length_s(), restore)
+
     def switch_service(self) -> None:
         """Publish a configuration that sends new flows to the other service."""
         self._version += self._rng.randint(1, 3)
         service = SERVICES[len(self._configs) % len(SERVICES)]
         ip, _, port = SERVICE.rpartition(":")
-        config = configuration(self._version, route(ip, int(port), service))
-        self._store.put("op/config", config)
+        self._config = configuration(self._version, route(ip, int(port), service))
+        self._store.put(CONFIG_KEY, self._config)
         self._configs.append((time.monotonic(), service))
 
     def drain_upstream(self) -> None:
@@ -207,6 +226,7 @@
     FAULTS = (
         *(kill_host, kill_host, stop_host, stop_host, pause_host, kill_all),
         *(reload_host, impair_link, impair_link, impair_link, impair_store),
+        *(restore_store_from_copy, restore_store_from_copy),
         *(stall_connections, stall_connections),
         *(
             switch_service,
@@ -224,6 +244,18 @@
         self.ends.add_upstream(upstream)
         self._publish_entry(upstream)
 
+    def _write_again(self) -> None:
+        """Write what a restored store lacks; end the entries of ended upstreams."""
+        self._store.put(CONFIG_KEY, self._config)
+        alive = [upstream for upstream in self._upstreams if upstream.is_alive]
+        for upstream in alive:
+            is_draining = upstream.draining_at_s is not None
+            self._publish_entry(upstream, state="draining" if is_draining else "ready")
+        ended = self._store.keys("servers/") - {upstream.key for upstream in alive}
+        for key in ended:
+            self._store.remove(key)
+        self._store_disturbed_at_s = time.monotonic()
+
     def _publish_entry(self, upstream: UpstreamEnd, **changes) -> None:
         zone = f"zone-{'ab'[upstream.number % 2]}"
         new_entry = entry(upstream.service, upstream.address, zone=zone, **changes)
--- a/tests/sharingdays.py
+++ b/tests/sharingdays.py
@@ -4,10 +4,12 @@
 
     python -m tests.sharingdays --seeds 1-200
     python -m tests.sharingdays --seeds 17-17 --faults silent_connections,large
+    python -m tests.sharingdays --seeds 1-200 --faults all,restore
 
 Each seed runs a simulated fleet through one schedule. Hosts are killed and restarted,
 partitioned from the store and from each other, and refused by the store. Connections to
-the store stall for good, and the store is unavailable, slow or loses its history.
+the store stall for good, and the store is unavailable, slow or loses its history. On
+request (``--faults all,restore``) it also comes back from an older copy.
 Configurations, some of them large, and upstream entries change throughout. A host that
 has been free of faults for SETTLE_S must know every version that is older than the
 bound, whichever host reads the store for it. Exit status 1 means that one did not.
@@ -39,6 +41,12 @@
 LARGE_CONFIG_ROUTES = 450
 # The most large configurations that hosts accept in the answer of one watch.
 MAX_WATCH_CONFIGS = 10
+# How old the copy is that the store is restored to, and how soon after that the
+# operator and the upstreams have written again what is lost.
+RESTORE_AGE_S = (1.0, 12.0)
+MAX_REWRITE_DELAY_S = 1.0
+# Stands for all kinds of faults but a restore, so that known seeds stay what they are.
+ALL_BUT_RESTORE = "all"
 
 
 class Put(NamedTuple):
@@ -67,11 +75,10 @@
         self._store_unavailable_until_s = self._store_unstable_until_s = float("-inf")
         self.violations = []
         self.injected_faults = []
-        self._fault_actions = {
-            name: action
-            for name, action in self._all_fault_actions().items()
-            if not fault_kinds or name in fault_kinds
-        }
+        self._copies = []
+        self._fault_actions = self._choose_fault_actions(
+            fault_kinds or [ALL_BUT_RESTORE]
+        )
         self._publish_config()
         self._publish_entry()
         seeds = tuple(
@@ -98,8 +105,9 @@
     def now_s(self):
         return self.scheduler.now_s()
 
-    def _all_fault_actions(self):
-        return {
+    def _choose_fault_actions(self, kinds):
+        """The actions of some kinds of faults, by name."""
+        actions = {
             "kill": self._kill_hosts,
             "silent_link": self._silence_store_for_hosts,
             "refuse": self._refuse_hosts,
@@ -112,6 +120,11 @@
             "storm": self._publish_burst,
             "large": self._publish_large_config,
         }
+        if ALL_BUT_RESTORE not in kinds:
+            actions = {name: actions[name] for name in actions if name in kinds}
+        if "restore" in kinds:
+            actions["restore"] = self._restore_store
+        return actions
 
     # Changes and faults
 
@@ -128,9 +141,14 @@
             if is_large
             else single_route_config(version)
         )
-        self._store.put_config(config)
+        self._put_config(config)
         self._config_puts.append(Put(self.now_s, version))
 
+    def _put_config(self, config):
+        self._store.put_config(config)
+        self._newest_config = config
+        self._copies.append((self.now_s, self._store.take_copy()))
+
     def _publish_entries_repeatedly(self):
         self._publish_entry()
         pause_s = self._entry_rng.uniform(0.3, 6.0)
@@ -139,15 +157,19 @@
     def _publish_entry(self):
         """Publish an entry whose slots are its version."""
         version = len(self._entry_puts) + 1
-        self._store.put_upstreams(
-            self.now_s, upstream("1", slots=version), upstream("2", zone="b")
-        )
+        self._put_entries(version)
         if self.now_s >= self._store_unstable_until_s + SETTLE_S:
             self._entry_puts.append(Put(self.now_s, version))
         else:
             # No bound holds for what is published during or soon after a store fault.
             self._entry_puts.append(Put(float("inf"), version))
 
+    def _put_entries(self, version):
+        self._store.put_upstreams(
+            self.now_s, upstream("1", slots=version), upstream("2", zone="b")
+        )
+        self._copies.append((self.now_s, self._store.take_copy()))
+
     def _inject_faults_repeatedly(self):
         """Inject a random fault now and schedule the next one."""
         name = self._rng.choice(list(self._fault_actions))
@@ -233,6 +255,7 @@
         )
 
     def _make_store_unavailable(self):
+        """Let the store answer nobody for a random time, and return that time."""
         length_s = self._draw_fault_length_s()
         all_names = {host.name for host in self.fleet.hosts}
         is_silent = self._rng.random() < 0.5
@@ -248,6 +271,7 @@
         self.scheduler.call_later(
             length_s, lambda: host_names.difference_update(affected)
         )
+        return length_s
 
     def _lose_history(self):
         """Fail watches for a moment, and let stale reads lag for longer."""
@@ -264,6 +288,33 @@
     def _end_stale_reads(self):
         self._store.stale_read_lag_s = 0.0
 
+    def _restore_store(self):
+        """Make the store unavailable and bring it back from an older copy.
+
+        What is lost is written again soon after. Half the time the lease of the first
+        entry is lost too, so that the entry is missing until then.
+        """
+        age_s = self._rng.uniform(*RESTORE_AGE_S)
+        keeps_leases = self._rng.random() < 0.5
+        rewrite_delay_s = self._rng.uniform(0.0, MAX_REWRITE_DELAY_S)
+        length_s = self._make_store_unavailable()
+
+        def restore():
+            taken_before_s = self.now_s - age_s
+            copies = [copy for at_s, copy in self._copies if at_s <= taken_before_s]
+            self._store.restore(copies[-1], self.now_s)
+            if not keeps_leases:
+                self._store.put_upstreams(self.now_s, upstream("2", zone="b"))
+            self.scheduler.call_later(rewrite_delay_s, self._write_again)
+
+        self.scheduler.call_later(length_s, restore)
+
+    def _write_again(self):
+        """Write the newest configuration and entries to a restored store."""
+        self._put_config(self._newest_config)
+        self._put_entries(len(self._entry_puts))
+        self._mark_store_unstable(0.0)
+
     def _slow_down_store(self):
         length_s = self._draw_fault_length_s()
         usual_s, self._store.answer_delay_s = self._store.answer_delay_s, 0.24
--- a/tests/steps/configbound_steps.py
+++ b/tests/steps/configbound_steps.py
@@ -14,7 +14,7 @@
 
 @given("a random fault schedule of seed {seed:d} with the faults {kinds}")
 def given_day(context, seed, kinds):
-    context.day = SimulatedDay(seed, None if kinds == "all" else kinds.split(","))
+    context.day = SimulatedDay(seed, kinds.split(","))
 
 
 @when("the open store connections of all hosts stall")
