--- a/src/wisteriatiller/operations/steeringcommands.py
+++ b/src/wisteriatiller/operations/steeringcommands.py
@@ -66,7 +66,7 @@
         if not answers:
             return
         header = ("host", "zone", "state", "reads from", "config", "config age s")
-        header += ("listing", "listing age s", "flows", "peers")
+        header += ("epoch", "listing", "listing age s", "flows", "peers")
         print_line(format_table(header, [_host_row(answer) for answer in answers]))
         header = ("host", "upstream", "service", "zone", "state", "presence")
         header += ("verdict", "flows", "slots", "address")
@@ -137,6 +137,8 @@
         answer["source"],
         config["version"],
         format_number(config["age_s"], ".1f"),
+        # Hosts of an earlier build do not tell their epoch.
+        directory.get("epoch", "-"),
         directory["revision"],
         format_number(directory["age_s"], ".1f"),
         answer["flows"],
