--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -11,15 +11,15 @@
 from wisteriatiller.ids import UpstreamId
 
 from .directory import DirectoryEntry, Presence, UpstreamChange, UpstreamDirectory
+from .flowloss import FlowLossDetector
 from .flowtable import Flow, FlowState, FlowTable, is_sequence_after
 from .latencies import LatencyRecorder
-from .outlierdetection import SUSPECT_FLOWS, OutlierDetector
+from .outlierdetection import OutlierDetector
 from .packets import (
     Decision,
     Discard,
     DiscardReason,
     Forward,
-    LossEvidence,
     Packet,
     PacketKind,
     RefusalReason,
@@ -28,7 +28,7 @@
 from .routes import ConfigView, Route
 from .settings import SteeringSettings
 from .slowupstreams import Shares
-from .upstreams import NO_TAG, UpstreamState
+from .upstreams import NO_TAG
 from .upstreamselection import LeastFlowsSelector, UpstreamSelector
 
 # Clients retransmit after 200 ms; packets that were reordered on the way come closer
@@ -37,13 +37,6 @@
 # The client's next packet follows an answered opening within one round trip of about
 # 10 ms.
 HANDSHAKE_CONFIRM_TIMEOUT_S = 0.1
-# An upstream counts as alive if any of its flows has progressed within this time.
-LIVENESS_WINDOW_S = 3.0
-# Retransmissions after which a flow is lost, if its upstream is gone from the directory
-# but alive. Clients double the wait before each, so this many take more than a second.
-LOST_AFTER_RETRANSMITS = 3
-# The same for a flow that is the only sign of its upstream: one packet may be lost.
-LOST_AFTER_RETRANSMITS_ALONE = 2
 # Several times the response time of most upstreams.
 REQUEST_TIMEOUT_S = 0.6
 
@@ -101,6 +94,7 @@
         self.latencies = LatencyRecorder()
         self.shares = Shares()
         self.flows = FlowTable(settings.flow_idle_s)
+        self._losses = FlowLossDetector(self.flows, self.outliers)
         self._unconfirmed_openings: deque[Flow] = deque()
         self._unanswered_requests: deque[tuple[Flow, float]] = deque()
         self.selector: UpstreamSelector = LeastFlowsSelector(
@@ -254,57 +248,14 @@
             self._observer.unknown_tag_received()
             return Discard(DiscardReason.UNKNOWN_TAG)
         self._update_flow(packet, entry, now_s)
-        if entry.presence is Presence.GONE and self._is_flow_lost(packet, entry, now_s):
-            evidence = self._loss_evidence(packet, entry, now_s)
+        evidence = self._losses.evidence_against(packet, entry, now_s)
+        if evidence is not None:
             self.flows.remove(packet.flow)
             if packet.kind is PacketKind.ABORTING:
                 return Discard(DiscardReason.NO_STATE)
             return Refuse(RefusalReason.UPSTREAM_GONE, evidence)
         return Forward(entry.upstream, packet.tag)
 
-    def _is_flow_lost(
-        self, packet: Packet, entry: DirectoryEntry, now_s: float
-    ) -> bool:
-        """Whether a flow of a gone upstream can no longer be answered.
-
-        An upstream that was draining has terminated. Any other entry may have expired
-        because its upstream cannot reach the store, so its flows continue until
-        retransmissions show that it does not answer.
-        """
-        if entry.upstream.state is UpstreamState.DRAINING:
-            return True
-        flow = self.flows.get(packet.flow, now_s)
-        return flow is not None and flow.repeats >= self._repeats_of_loss(entry, now_s)
-
-    def _repeats_of_loss(self, entry: DirectoryEntry, now_s: float) -> int:
-        """How many retransmissions show that an upstream no longer answers a flow."""
-        if self._is_upstream_alive(entry, now_s):
-            return LOST_AFTER_RETRANSMITS
-        health = self.outliers.health_of(entry.upstream.upstream_id)
-        is_confirmed = health.retransmitting_flows() >= SUSPECT_FLOWS
-        return 1 if is_confirmed else LOST_AFTER_RETRANSMITS_ALONE
-
-    def _loss_evidence(
-        self, packet: Packet, entry: DirectoryEntry, now_s: float
-    ) -> LossEvidence:
-        upstream = entry.upstream
-        flow = self.flows.get(packet.flow, now_s)
-        health = self.outliers.health_of(upstream.upstream_id)
-        return LossEvidence(
-            upstream.upstream_id,
-            has_drained=upstream.state is UpstreamState.DRAINING,
-            missing_s=now_s - entry.presence_since_s,
-            repeats=0 if flow is None else flow.repeats,
-            silent_s=now_s - health.last_progress_at_s,
-        )
-
-    def _is_upstream_alive(self, entry: DirectoryEntry, now_s: float) -> bool:
-        """Whether any flow progressed lately and after the upstream's entry expired."""
-        progress_s = self.outliers.health_of(
-            entry.upstream.upstream_id
-        ).last_progress_at_s
-        return progress_s > max(entry.presence_since_s, now_s - LIVENESS_WINDOW_S)
-
     def _update_flow(self, packet: Packet, entry: DirectoryEntry, now_s: float) -> None:
         """Update the flow table and upstream health from a tagged packet."""
         upstream_id = entry.upstream.upstream_id
