--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -9,8 +9,10 @@
 from wisteriatiller.network import EventLoop, HttpServer, Page
 from wisteriatiller.telemetry import Counters, EventLog
 
+from .configwatcher import ConfigWatcher
 from .datapath import DataPath, bind_data_socket
 from .directory import UpstreamDirectory
+from .directorypoller import DirectoryPoller
 from .peers import UNKNOWN_ZONE, Peer, PeerRegistry
 from .ports import PacketCodec, StoreReader
 from .reporting import Reporter
@@ -22,7 +24,7 @@
 from .snapshots import SnapshotEncoder, decode_request
 from .status import steering_status
 from .steering import FlowSteering
-from .storepolling import ConfigWatcher, DirectoryPoller, StateObserver
+from .storepolling import StateObserver
 from .zonelatencies import ZoneLatencies
 
 READY_PATH = "/ready"
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -14,11 +14,13 @@
 from wisteriatiller.ids import Address
 from wisteriatiller.network.loop import Scheduler
 
+from .configwatcher import ConfigWatcher
+from .directorypoller import DirectoryPoller
 from .peers import Peer, SnapshotClient
 from .settings import SteeringSettings
 from .sharedstate import SharedState
 from .snapshots import Snapshot, SnapshotRequest
-from .storepolling import ConfigWatcher, DirectoryPoller, StateObserver
+from .storepolling import StateObserver
 from .zonelatencies import ZoneLatencies
 
 # Older state in a snapshot is ignored, since it is too old to act on.
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -3,7 +3,9 @@
 from testbed.steeringparts import steering_settings
 from tests.fakestore import FakeStore, FakeStoreState
 from wisteriatiller.network.loop import Scheduler
+from wisteriatiller.steering.configwatcher import ConfigWatcher
 from wisteriatiller.steering.directory import UpstreamDirectory
+from wisteriatiller.steering.directorypoller import DirectoryPoller
 from wisteriatiller.steering.latencies import LatencyRecorder
 from wisteriatiller.steering.peers import Peer, PeerRegistry, SnapshotClient
 from wisteriatiller.steering.routes import ConfigView
@@ -16,11 +18,7 @@
     decode_snapshot,
     encode_request,
 )
-from wisteriatiller.steering.storepolling import (
-    ConfigWatcher,
-    DirectoryPoller,
-    StateObserver,
-)
+from wisteriatiller.steering.storepolling import StateObserver
 from wisteriatiller.steering.zonelatencies import ShareObserver, ZoneLatencies
 
 PEER_DELAY_S = 0.003
--- a/tests/steps/storerestore_steps.py
+++ b/tests/steps/storerestore_steps.py
@@ -7,9 +7,9 @@
 from tests.sharingfleet import single_route_config
 from tests.steeringfakes import RecordingStateObserver
 from wisteriatiller.ids import Revision, StoreEpoch, StorePosition
+from wisteriatiller.steering.configwatcher import ConfigWatcher
 from wisteriatiller.steering.ports import ConfigRead, ConfigUnchanged, StoreReader
 from wisteriatiller.steering.routes import ConfigView
-from wisteriatiller.steering.storepolling import ConfigWatcher
 
 
 @when("a copy of the store is made")
