Take a missing entry for the end of a drain only if a healthy store removed it

An upstream that drains keeps its flows and serves for many seconds. If the store loses its entry in that time, by a restore or an outage, and the upstream cannot register again, hosts took the missing entry for its end and reset its flows at once. Found by asking what a missing entry means after a restore; steering.feature has three ways into it, all of which failed before.

The log field 'drained' is 'left' now.

--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -52,11 +52,14 @@
 
     ``changed_generation`` is the directory generation of the entry's last change.
     ``is_withdrawn`` says that the upstream had begun to leave before the store was
-    restored to a copy in which it is ready.
+    restored to a copy in which it is ready. ``has_left`` says that it drained, and that
+    a healthy store then removed its entry; an entry that is missing for another reason
+    tells nothing about its upstream.
     """
 
     __slots__ = (
         "changed_generation",
+        "has_left",
         "is_withdrawn",
         "presence",
         "presence_since_s",
@@ -71,6 +74,7 @@
         self.presence = Presence.LISTED
         self.presence_since_s = now_s
         self.is_withdrawn = False
+        self.has_left = False
 
     def takes_new_flows(self) -> bool:
         is_present = self.presence in (Presence.LISTED, Presence.UNCERTAIN)
@@ -117,9 +121,7 @@
         if self._is_older(listing):
             return None
         if listing.epoch > self.position.epoch:
-            # Entries that were written after the copy may be missing until their
-            # upstreams register again.
-            self.mark_store_lost()
+            self._begin_epoch()
         if store_healthy_s is not None:
             self._extend_healthy_period(now_s - store_healthy_s)
         self.position = listing.position
@@ -208,6 +210,15 @@
             return False
         return listing.position < self.listing.newest_position
 
+    def _begin_epoch(self) -> None:
+        """Doubt what is missing: it may have been written after the store's copy.
+
+        Upstreams register again, but one that was cut off from the store may not.
+        """
+        self.mark_store_lost()
+        for entry in self._entries.values():
+            entry.has_left = False
+
     def _extend_healthy_period(self, since_s: float) -> None:
         if self._store_healthy_since_s is None or since_s < self._store_healthy_since_s:
             self._store_healthy_since_s = since_s
@@ -269,6 +280,9 @@
     def _set_presence(
         self, entry: DirectoryEntry, presence: Presence, now_s: float
     ) -> UpstreamChange:
+        is_removed = presence is Presence.GONE and entry.presence is Presence.LISTED
+        is_draining = entry.upstream.state is UpstreamState.DRAINING
+        entry.has_left = is_removed and is_draining
         entry.presence = presence
         entry.presence_since_s = now_s
         entry.changed_generation = self._generation
--- a/src/wisteriatiller/steering/flowloss.py
+++ b/src/wisteriatiller/steering/flowloss.py
@@ -1,15 +1,15 @@
 """Decides when a flow is lost whose upstream is no longer listed.
 
-An upstream that was draining has ended. Any other missing entry may have expired
-because its upstream cannot reach the store, or be missing from a restored store, so
-that its flows continue until retransmissions show that it does not answer.
+An upstream that drained, and whose entry a healthy store then removed, has ended. Any
+other missing entry may have expired because its upstream cannot reach the store, or be
+missing from a restored store, so that its flows continue until retransmissions show
+that it does not answer.
 """
 
 from .directory import DirectoryEntry, Presence
 from .flowtable import FlowTable
 from .outlierdetection import SUSPECT_FLOWS, OutlierDetector, UpstreamHealth
 from .packets import LossEvidence, Packet
-from .upstreams import UpstreamState
 
 # An upstream counts as alive if any of its flows has progressed within this time.
 LIVENESS_WINDOW_S = 3.0
@@ -37,13 +37,13 @@
         health = self._outliers.health_of(entry.upstream.upstream_id)
         evidence = LossEvidence(
             entry.upstream.upstream_id,
-            has_drained=entry.upstream.state is UpstreamState.DRAINING,
+            has_left=entry.has_left,
             missing_s=now_s - entry.presence_since_s,
             repeats=0 if flow is None else flow.repeats,
             silent_s=now_s - health.last_progress_at_s,
         )
         is_unanswered = evidence.repeats >= _repeats_of_loss(evidence, health)
-        return evidence if evidence.has_drained or is_unanswered else None
+        return evidence if evidence.has_left or is_unanswered else None
 
 
 def _repeats_of_loss(evidence: LossEvidence, health: UpstreamHealth) -> int:
--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -80,13 +80,13 @@
 class LossEvidence(NamedTuple):
     """Why a flow is given up whose upstream is no longer listed.
 
-    ``missing_s`` is how long the upstream has been gone, ``repeats`` how often the
-    client has repeated the packet, and ``silent_s`` the time since any flow of the
-    upstream has progressed.
+    ``has_left`` says that the upstream is known to have drained and ended,
+    ``missing_s`` how long it has been gone, ``repeats`` how often the client has
+    repeated the packet, and ``silent_s`` the time since any flow of it has progressed.
     """
 
     upstream_id: UpstreamId
-    has_drained: bool
+    has_left: bool
     missing_s: float
     repeats: int
     silent_s: float
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -274,7 +274,7 @@
     is_ever_heard = evidence.silent_s < float("inf")
     return {
         "upstream": evidence.upstream_id,
-        "drained": str(evidence.has_drained).lower(),
+        "left": str(evidence.has_left).lower(),
         "missing_ms": _to_ms(evidence.missing_s),
         "repeats": evidence.repeats,
         "silent_ms": _to_ms(evidence.silent_s if is_ever_heard else None),
--- a/tests/steering.feature
+++ b/tests/steering.feature
@@ -76,6 +76,28 @@
     And the upstream of the first flow leaves the listing
     Then the next packet of the first flow is refused because of upstream_gone
 
+  Scenario Outline: A draining upstream whose entry is lost keeps its flows
+    # Incident store-restored. A restored store may lack the entry of an upstream that
+    # drains and still serves. Guards against a missing entry that is taken for the
+    # upstream's end, so that its open flows are reset.
+    Given steering with 3 upstreams
+    And 1 open flows
+    When the upstream of the first flow starts draining
+    And <loss>
+    And 3 seconds pass and the listing is confirmed
+    And 1 seconds later the first flow sends a request
+    Then the request is forwarded
+    When it is retransmitted 200 ms later
+    Then the request is forwarded
+    When it is retransmitted 400 ms later
+    Then the request is refused for 2 repeats
+
+    Examples:
+      | loss                                                  |
+      | the store is restored to a copy without that upstream |
+      | that upstream leaves, and the store is restored       |
+      | the store is lost, and that upstream is not listed    |
+
   Scenario: An upstream whose entry expires keeps the flows that it answers
     # Guards against resets of flows whose upstream is alive but cannot reach the store,
     # as after a partition of its zone.
--- a/tests/steps/steering_steps.py
+++ b/tests/steps/steering_steps.py
@@ -96,11 +96,11 @@
         assert second == first, (first, second)
 
 
-def replace_first_upstream(context, **changes):
+def replace_first_upstream(context, store_healthy_s=60.0, **changes):
     first_upstream = context.flow_upstreams[0]
     rest = [other for other in context.upstreams if other != first_upstream]
     changed = [first_upstream._replace(**changes)] if changes else []
-    context.world.apply_listing(*changed, *rest)
+    context.world.apply_listing(*changed, *rest, store_healthy_s=store_healthy_s)
 
 
 @when("the upstream of the first flow starts draining")
@@ -108,6 +108,30 @@
     replace_first_upstream(context, state=UpstreamState.DRAINING)
 
 
+@when("the store is restored to a copy without that upstream")
+def when_restored_without(context):
+    context.world.restore_store()
+    replace_first_upstream(context, store_healthy_s=0.0)
+
+
+@when("that upstream leaves, and the store is restored")
+def when_leaves_and_restored(context):
+    replace_first_upstream(context)
+    when_restored_without(context)
+
+
+@when("the store is lost, and that upstream is not listed")
+def when_lost_and_not_listed(context):
+    context.world.directory.mark_store_lost()
+    replace_first_upstream(context, store_healthy_s=0.0)
+
+
+@when("{duration_s:d} seconds pass and the listing is confirmed")
+def when_listing_confirmed(context, duration_s):
+    context.world.now_s += duration_s
+    context.world.directory.confirm(context.world.now_s, float(duration_s), 0.0)
+
+
 @when("the upstream of the first flow leaves the listing")
 def when_leaves(context):
     replace_first_upstream(context)
