Ignore an epoch that is too large for messages between hosts

Found by reading: an epoch of more than 64 bits in an answer of the store would have ended each host at its next message to another.

--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -43,6 +43,8 @@
 UPSTREAM_PREFIX = "servers/"
 # In every response; it rises when the store comes back from an older copy.
 EPOCH_HEADER = "store-era"
+# Messages between hosts hold integers of 64 bits.
+MAX_EPOCH_DIGITS = 15
 # Limit of a response body as a multiple of the largest value; allows for base64, JSON
 # and pages of many values.
 BODY_SIZE_FACTOR = 4
@@ -245,7 +247,8 @@
 def epoch_of(response: HttpResponse) -> StoreEpoch:
     """Return the epoch that a response names; ``NO_EPOCH`` if it names none."""
     text = response.headers.get(EPOCH_HEADER, "")
-    return StoreEpoch(int(text)) if text.isascii() and text.isdecimal() else NO_EPOCH
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_EPOCH_DIGITS
+    return StoreEpoch(int(text)) if is_number else NO_EPOCH
 
 
 def _position_of(response: HttpResponse, body: dict) -> StorePosition:
