Count how long the store has been healthy within its epoch

A reader that has read the restored store first hands its listing to a host of another zone that has missed no call. That host had counted the store as healthy for long, in the former epoch, and took each entry that is missing from the copy for removed: no new flows to the upstream, and resets of its flows if it drained. directory.feature shows it; the scenario failed before. The first listing of an epoch now begins the count, on whatever way it comes; a host that has lost the store does not begin it.

--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -5,11 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from wisteriatiller.ids import (
-    NO_POSITION,
-    ServiceId,
-    UpstreamId,
-)
+from wisteriatiller.ids import NO_POSITION, ServiceId, UpstreamId
 
 from .upstreams import (
     NO_LISTING,
@@ -122,6 +118,8 @@
             return None
         if listing.epoch > self.position.epoch:
             self._begin_epoch()
+            # The reader may have counted in the former epoch.
+            store_healthy_s = None if store_healthy_s is None else 0.0
         if store_healthy_s is not None:
             self._extend_healthy_period(now_s - store_healthy_s)
         self.position = listing.position
--- a/tests/directory.feature
+++ b/tests/directory.feature
@@ -26,6 +26,24 @@
     When the listing is confirmed 3 seconds later
     Then upstream 1 is gone
 
+  Scenario: A peer brings a listing of a new epoch to a host that has missed nothing
+    # Incident store-restored. All calls of the host have been answered, and a peer has
+    # read the restored store first. Guards against entries that count as removed,
+    # because the store has been healthy for long in the former epoch.
+    Given a directory with upstreams 1, 2 and 3
+    When a peer brings a listing of a new epoch without upstream 1
+    Then upstream 1 is uncertain
+    And upstream 1 takes new flows
+
+  Scenario: A host that has lost the store learns of a new epoch from a peer
+    # Guards against flows that are given up by a host whose path to the store, and that
+    # of the upstreams near it, is cut.
+    Given a directory with upstreams 1, 2 and 3
+    When the store is lost
+    And a peer brings a listing of a new epoch without upstream 1 to a host without store
+    And the same listing is confirmed by a peer 5 seconds later
+    Then upstream 1 is uncertain
+
   Scenario: A copy that lists a draining upstream as ready brings it no new flows
     # Incident store-restored. The copy is older than the drain. Guards against new flows
     # to an upstream that leaves, until it has written its state again.
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -74,6 +74,29 @@
     context.world.apply_listing(*rest, store_healthy_s=0.0)
 
 
+@when("a peer brings a listing of a new epoch without upstream {number:d}")
+def when_peer_brings_epoch(context, number):
+    rest = [made for key, made in context.upstreams.items() if key != number]
+    context.world.restore_store()
+    context.world.apply_listing(*rest, store_healthy_s=60.0)
+
+
+@when(
+    "a peer brings a listing of a new epoch without upstream {number:d} to a host "
+    "without store"
+)
+def when_peer_brings_epoch_to_lost(context, number):
+    rest = [made for key, made in context.upstreams.items() if key != number]
+    context.world.restore_store()
+    context.world.apply_listing(*rest, store_healthy_s=None)
+
+
+@when("the same listing is confirmed by a peer {later_s:d} seconds later")
+def when_confirmed_by_peer(context, later_s):
+    context.world.now_s += later_s
+    context.world.directory.confirm(context.world.now_s, None, 0.0)
+
+
 @when("the store is restored to a copy with all upstreams")
 def when_restored_with_all(context):
     context.world.restore_store()
