--- a/tests/steps/storerestore_steps.py
+++ b/tests/steps/storerestore_steps.py
@@ -61,6 +61,14 @@
     store.put_upstreams(context.scheduler.now_s(), *store.upstreams)
 
 
+@then("no host has rejected a listing")
+def then_none_rejected(context):
+    rejected = {
+        host.name: host.observer.rejected_listings for host in context.fleet.hosts
+    }
+    assert not any(rejected.values()), rejected
+
+
 class ManualStore(StoreReader):
     """Keeps the last call about the configuration until a step answers it."""
 
--- a/tests/storerestore.feature
+++ b/tests/storerestore.feature
@@ -13,6 +13,7 @@
     And the operator writes its configuration again and 4 seconds pass
     And an upstream drains and 3 seconds pass
     Then no host gives new flows to the draining upstream
+    And no host has rejected a listing
 
   Scenario: Two listings of the same revision and different epochs are not confused
     # Incident store-restored. Guards against hosts that take a revision that was given
