Let soak clients acknowledge answers in packets of their own

Clients of the host soak gave each packet a sequence number of its own, so that no packet looked as the acknowledgement and the next request of real clients do. They now alternate; and after half of the restores one upstream stays unlisted for 6 s though it serves.

--- a/testbed/flowends.py
+++ b/testbed/flowends.py
@@ -15,6 +15,7 @@
 
 SERVICE = "198.18.0.1:443"
 PACKET_INTERVAL_S = 0.12
+REQUEST = b"hello"
 FLOW_LENGTH_S = 4.0
 # Packets of a flow come through another host with this chance.
 MOVE_CHANCE = 0.3
@@ -58,6 +59,8 @@
         self.tag = 0
         self.sequence = random.randrange(1 << 31)
         self.acknowledged = 0
+        # Whether the last request is not acknowledged yet.
+        self.has_request = False
         self.next_at_s = now_s
         # Packets without their tag, with the time at which each was sent.
         self.sent: dict[bytes, float] = {}
@@ -154,10 +157,18 @@
                 flow.copies += 1
         elif now_s >= flow.next_at_s:
             flow.next_at_s = now_s + PACKET_INTERVAL_S
-            flow.sequence += 5
-            flow.acknowledged += 700
             self.counts.sent += 1
-            self._send(flow, ACK, flow.acknowledged, b"hello")
+            self._send_next(flow)
+
+    def _send_next(self, flow: ClientFlow) -> None:
+        """Send a request, or acknowledge the answer to it in a packet without data."""
+        if flow.has_request:
+            flow.acknowledged += 700
+            self._send(flow, ACK, flow.acknowledged)
+        else:
+            self._send(flow, ACK, flow.acknowledged, REQUEST)
+            flow.sequence += len(REQUEST)
+        flow.has_request = not flow.has_request
 
     def _end(self, flow: ClientFlow) -> None:
         del self._flows[flow.source]
--- a/tests/hostsoak.py
+++ b/tests/hostsoak.py
@@ -66,6 +66,9 @@
 # operator and the upstreams have written again what is lost.
 COPY_AGE_S = (1.0, 10.0)
 MAX_REWRITE_DELAY_S = 1.0
+# An upstream that cannot register again after a restore stays unlisted for this long.
+UNLISTED_CHANCE = 0.5
+UNLISTED_S = 6.0
 START_TIMEOUT_S = 20.0
 
 
@@ -245,17 +248,27 @@
         self._publish_entry(upstream)
 
     def _write_again(self) -> None:
-        """Write what a restored store lacks; end the entries of ended upstreams."""
+        """Write what a restored store lacks; end the entries of ended upstreams.
+
+        Sometimes one upstream cannot register again, though it serves.
+        """
         self._store.put(CONFIG_KEY, self._config)
         alive = [upstream for upstream in self._upstreams if upstream.is_alive]
+        if alive and self._rng.random() < UNLISTED_CHANCE:
+            unlisted = alive.pop(self._rng.randrange(len(alive)))
+            self._schedule(UNLISTED_S, lambda: self._register_again(unlisted))
         for upstream in alive:
-            is_draining = upstream.draining_at_s is not None
-            self._publish_entry(upstream, state="draining" if is_draining else "ready")
+            self._register_again(upstream)
         ended = self._store.keys("servers/") - {upstream.key for upstream in alive}
         for key in ended:
             self._store.remove(key)
         self._store_disturbed_at_s = time.monotonic()
 
+    def _register_again(self, upstream: UpstreamEnd) -> None:
+        if upstream.is_alive:
+            is_draining = upstream.draining_at_s is not None
+            self._publish_entry(upstream, state="draining" if is_draining else "ready")
+
     def _publish_entry(self, upstream: UpstreamEnd, **changes) -> None:
         zone = f"zone-{'ab'[upstream.number % 2]}"
         new_entry = entry(upstream.service, upstream.address, zone=zone, **changes)
