Share loads and activity of upstreams between hosts and zones

Cause: a host of a large zone sees too little of one upstream to judge it, and hosts shared response times only, within a zone. Change: reports hold requests in flight, silent flows, the age of progress and openings; findings hold shares, silent upstreams and the loads of each service; readers fetch the findings of other zones. Only with uses_zone_findings, which the policy 'health' of a deployment's settings turns on. The routes' kind, priority and times, and the services' warm-up are decoded. steering/ has the packages evidence/ and selection/; the selector is split by policy. Messages between hosts have format 6. No policy uses the new findings yet.

--- a/src/wisteriatiller/platform/settingsfile.py
+++ b/src/wisteriatiller/platform/settingsfile.py
@@ -12,6 +12,9 @@
 STOP_TIMEOUT_S = 2.0
 DEFAULT_MAX_VALUE_BYTES = 1_048_576
 DEFAULT_CONFIG_BOUND_MS = 3000.0
+# Under this policy an upstream's own word about its health is not to be trusted, so
+# that hosts have to judge upstreams by what they see.
+UNTRUSTED_HEALTH_POLICY = "health"
 
 
 class SettingsFileError(Exception):
@@ -39,6 +42,7 @@
     # The platform's limit applies to a value before it is encoded as base64 in JSON.
     max_value_bytes = fields.number("platform.value_bytes", DEFAULT_MAX_VALUE_BYTES)
     config_bound_ms = fields.number("bounds.config_apply_ms", DEFAULT_CONFIG_BOUND_MS)
+    evacuation_bound_ms = fields.number("bounds.evacuate_ms", 0.0)
     return SteeringSettings(
         host_id=HostId(fields.text("node_name")),
         zone=ZoneId(fields.text("zone")),
@@ -52,6 +56,10 @@
         stop_timeout_s=stop_timeout_s,
         max_value_bytes=int(max_value_bytes),
         config_bound_s=config_bound_ms / 1000.0,
+        uses_zone_findings=UNTRUSTED_HEALTH_POLICY in fields.texts("policies"),
+        evacuation_bound_s=evacuation_bound_ms / 1000.0 or None,
+        warmup_overage=fields.number("bounds.warmup_overage", 1.0),
+        warmup_slack_flows=fields.number("bounds.warmup_slack", 0.0),
     )
 
 
@@ -68,6 +76,10 @@
             raise SettingsFileError(f"{self._path}: {name}: missing")
         return value
 
+    def texts(self, name: str) -> tuple[str, ...]:
+        """Return the parts of a list; none if the field is missing."""
+        return tuple(filter(None, self._values.get(name, "").split(",")))
+
     def number(self, name: str, default: float) -> float:
         value = self._values.get(name, "")
         if not value:
--- a/src/wisteriatiller/platform/storedvalues.py
+++ b/src/wisteriatiller/platform/storedvalues.py
@@ -6,11 +6,13 @@
 from wisteriatiller.ids import Address, ServiceId, UpstreamId, ZoneId
 from wisteriatiller.steering import (
     ConfigVersion,
+    RequestKind,
     Route,
     RouteConfig,
     ServiceAddress,
     Upstream,
     UpstreamState,
+    WarmupSettings,
     WeightedService,
 )
 
@@ -19,6 +21,13 @@
 DEFAULT_IDLE_TIMEOUT_MS = 60_000
 # JSON implementations agree on integers up to 2**53.
 MAX_EXACT_INTEGER = 1 << 53
+# "safe" requests may be repeated, "unsafe" ones may run once at most.
+_REQUEST_KINDS = {
+    "safe": RequestKind.IDEMPOTENT,
+    "download": RequestKind.DOWNLOAD,
+    "unsafe": RequestKind.NON_IDEMPOTENT,
+    "upload": RequestKind.UPLOAD,
+}
 _STATES = {"ready": UpstreamState.READY, "draining": UpstreamState.DRAINING}
 
 
@@ -79,9 +88,26 @@
             _decode_route(route) for route in _typed_field(config, "routes", list)
         ),
         idle_timeout_ms=idle_timeout_ms,
+        warmups=_decode_warmups(config.get("services")),
     )
 
 
+def _decode_warmups(services: object) -> tuple[WarmupSettings, ...]:
+    """Return the warm-ups of the services that set one; others are left out."""
+    if not isinstance(services, list):
+        return ()
+    warmups = (
+        WarmupSettings(
+            ServiceId(service["name"]),
+            _number_or_zero(service, "warmup_s"),
+            _number_or_zero(service, "warmup_per_s"),
+        )
+        for service in services
+        if isinstance(service, dict) and isinstance(service.get("name"), str)
+    )
+    return tuple(warmup for warmup in warmups if warmup.warmup_s)
+
+
 def _decode_route(route: object) -> Route:
     if not isinstance(route, dict):
         raise StoredValueError("route is not a JSON object")
@@ -103,6 +129,11 @@
         name=str(route.get("name", "")).encode(errors="replace").decode(),
         service_address=ServiceAddress(host + int(port).to_bytes(2, "big")),
         services=services,
+        # Whatever is not known to be repeatable is taken for non-idempotent.
+        kind=_REQUEST_KINDS.get(str(route.get("type")), RequestKind.NON_IDEMPOTENT),
+        priority=int(_number_or_zero(route, "priority")),
+        target_latency_ms=int(_number_or_zero(route, "target_latency_ms")),
+        timeout_ms=int(_number_or_zero(route, "timeout_ms")),
     )
 
 
@@ -131,6 +162,13 @@
     return value
 
 
+def _number_or_zero(fields: dict, name: str) -> float:
+    """Return a number that steering can do without; 0 if it is missing or invalid."""
+    value = fields.get(name)
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    return value if is_number and 0 <= value <= MAX_EXACT_INTEGER else 0
+
+
 def _is_serializable(value: object) -> bool:
     """Whether a value can be written to logs and to messages between hosts.
 
--- a/src/wisteriatiller/steering/__init__.py
+++ b/src/wisteriatiller/steering/__init__.py
@@ -18,7 +18,14 @@
     ServiceAddress,
 )
 from .ports import PacketCodec, StoreReader
-from .routes import ConfigVersion, Route, RouteConfig, WeightedService
+from .routes import (
+    ConfigVersion,
+    RequestKind,
+    Route,
+    RouteConfig,
+    WarmupSettings,
+    WeightedService,
+)
 from .settings import SteeringSettings
 from .upstreams import Listing, Tag, Upstream, UpstreamState
 
@@ -35,6 +42,7 @@
     "Readiness",
     "RefusalReason",
     "Refuse",
+    "RequestKind",
     "Route",
     "RouteConfig",
     "ServiceAddress",
@@ -44,5 +52,6 @@
     "Tag",
     "Upstream",
     "UpstreamState",
+    "WarmupSettings",
     "WeightedService",
 ]
--- a/src/wisteriatiller/steering/flowloss.py
+++ b/src/wisteriatiller/steering/evidence/flowloss.py
@@ -6,10 +6,10 @@
 that it does not answer.
 """
 
-from .directory import DirectoryEntry, Presence
-from .flowtable import FlowTable
+from ..directory import DirectoryEntry, Presence
+from ..flowtable import FlowTable
+from ..packets import LossEvidence, Packet
 from .outlierdetection import SUSPECT_FLOWS, OutlierDetector, UpstreamHealth
-from .packets import LossEvidence, Packet
 
 # An upstream counts as alive if any of its flows has progressed within this time.
 LIVENESS_WINDOW_S = 3.0
--- a/src/wisteriatiller/steering/slowupstreams.py
+++ b/src/wisteriatiller/steering/evidence/slowupstreams.py
@@ -1,4 +1,4 @@
-"""Detects slow upstreams from the latency reports of all hosts of a zone.
+"""Detects slow upstreams from the reports of all hosts of a zone.
 
 An upstream whose response times are several times those of its service gets only a
 fraction of its usual share of new flows. The fraction is never zero, so that later
@@ -11,9 +11,9 @@
 
 from wisteriatiller.ids import Address, ServiceId, UpstreamId
 
-from .directory import DirectoryEntry, UpstreamDirectory
-from .latencies import BUCKETS, LatencyReport
-from .upstreams import Tag
+from ..directory import DirectoryEntry, UpstreamDirectory
+from ..upstreams import Tag
+from .reports import BUCKETS, HostReport
 
 WINDOW_S = 3.0
 # Reports arrive several times a second, and the shares need not change that often.
@@ -34,8 +34,6 @@
 # A host whose median over all upstreams is this far above that of the zone is slow
 # itself, so that its reports are ignored.
 SLOW_HOST_BUCKETS = 2
-# Reduced shares expire if they are not renewed for this long.
-SHARES_TTL_S = 2.0
 
 
 class Share(NamedTuple):
@@ -49,24 +47,6 @@
     hosts: int
 
 
-class Shares:
-    """The reduced shares in force at a host; all other upstreams have a full one."""
-
-    def __init__(self):
-        self._fractions: Mapping[Tag, float] = {}
-        self._set_at_s = float("-inf")
-
-    def set(self, fractions: Mapping[Tag, float], now_s: float) -> None:
-        self._fractions = fractions
-        self._set_at_s = now_s
-
-    def fraction_for(self, tag: Tag, now_s: float) -> float:
-        """The fraction of an upstream; 1 if it is not reduced or has expired."""
-        if not self._fractions or now_s - self._set_at_s > SHARES_TTL_S:
-            return 1.0
-        return self._fractions.get(tag, 1.0)
-
-
 class _Aggregate:
     """The histogram of one upstream over the window, from all hosts."""
 
@@ -93,13 +73,14 @@
 
     def __init__(self, directory: UpstreamDirectory):
         self._directory = directory
-        self._reports: deque[tuple[float, Address, LatencyReport]] = deque()
+        self._reports: deque[tuple[float, Address, HostReport]] = deque()
         self._reduced_shares: dict[Tag, Share] = {}
         self._recomputed_at_s = float("-inf")
 
-    def add_report(self, host: Address, report: LatencyReport, now_s: float) -> None:
-        if report:
-            self._reports.append((now_s, host, report))
+    def add_report(self, host: Address, report: HostReport, now_s: float) -> None:
+        with_answers = tuple(row for row in report if any(row.counts))
+        if with_answers:
+            self._reports.append((now_s, host, with_answers))
         self._drop_old_reports(now_s)
 
     def reduced_shares(self, now_s: float) -> Mapping[Tag, Share]:
--- /dev/null
+++ b/src/wisteriatiller/steering/evidence/zoneevidence.py
@@ -0,0 +1,133 @@
+"""A host's part in what the hosts of a zone find out together."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+
+from wisteriatiller.ids import Address, ZoneId
+
+from ..directory import UpstreamDirectory
+from ..settings import SteeringSettings
+from ..upstreams import Tag
+from .findings import FINDINGS_TTL_S, FindingsView, ZoneFindings
+from .reports import HostReport, UpstreamRecorder
+from .slowupstreams import Share, SlowUpstreamDetector
+from .zoneloads import ZoneLoads
+
+# Reports arrive several times a second, and the findings need not change that often.
+RECOMPUTE_INTERVAL_S = 0.3
+
+
+class ShareObserver(ABC):
+    """Is notified when the share of a slow upstream is lowered or restored."""
+
+    @abstractmethod
+    def share_lowered(self, share: Share) -> None: ...
+
+    @abstractmethod
+    def share_restored(self, share: Share) -> None: ...
+
+
+class ZoneEvidence:
+    """Reports to the zone's reader, or computes the findings if this host reads.
+
+    A host with a reader reports to it and applies its findings. A host that reads the
+    store itself aggregates the reports of the hosts that follow it.
+    """
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        own: Address,
+        directory: UpstreamDirectory,
+        recorder: UpstreamRecorder,
+        findings: FindingsView,
+        observer: ShareObserver,
+    ):
+        self._settings = settings
+        self._own = own
+        self._directory = directory
+        self._recorder = recorder
+        self._findings = findings
+        self._observer = observer
+        self._slow = SlowUpstreamDetector(directory)
+        self._loads = ZoneLoads(settings.zone, directory)
+        self._lowered: Mapping[Tag, Share] = {}
+        self._computed = ZoneFindings()
+        self._computed_at_s = float("-inf")
+        # When this host last applied the findings of another one.
+        self._followed_at_s = float("-inf")
+        # The silent upstreams of each other zone, by its own reader, and when told.
+        self._silent_elsewhere: dict[ZoneId, tuple[float, frozenset[Tag]]] = {}
+
+    def take_report(self, now_s: float) -> HostReport:
+        """What this host has seen since its last report, for its reader."""
+        return self._recorder.take_report(now_s)
+
+    def add_report(self, host: Address, report: HostReport, now_s: float) -> None:
+        """Aggregate the report of a host that follows this one."""
+        self._slow.add_report(host, report, now_s)
+        if self._settings.uses_zone_findings:
+            self._loads.add_report(host, report, now_s)
+
+    def set_foreign_findings(
+        self, zone: ZoneId, findings: ZoneFindings, now_s: float
+    ) -> None:
+        """Take over what the hosts of another zone have found out of their own zone."""
+        self._loads.set_foreign(zone, findings.loads, now_s)
+        silent = frozenset(tag for tag in findings.silent if self._zone_of(tag) == zone)
+        self._silent_elsewhere[zone] = (now_s, silent)
+
+    def update_findings(self, now_s: float) -> ZoneFindings:
+        """Compute the findings from the reports of the zone.
+
+        They are applied here, unless this host has applied those of another one, to
+        which it has reported, a short time ago.
+        """
+        if now_s - self._computed_at_s < RECOMPUTE_INTERVAL_S:
+            return self._computed
+        self._computed_at_s = now_s
+        is_following = now_s - self._followed_at_s < FINDINGS_TTL_S
+        if not is_following:
+            self.add_report(self._own, self._recorder.take_report(now_s), now_s)
+        self._computed = self._compute(now_s)
+        if not is_following:
+            self._findings.set(self._computed, now_s)
+        return self._computed
+
+    def apply_findings(self, findings: ZoneFindings, now_s: float) -> None:
+        """Apply the findings that another host has computed."""
+        self._findings.set(findings, now_s)
+        if self._settings.uses_zone_findings:
+            self._followed_at_s = now_s
+
+    def _compute(self, now_s: float) -> ZoneFindings:
+        lowered = self._slow.reduced_shares(now_s)
+        if lowered is not self._lowered:
+            self._notify_changes(lowered)
+            self._lowered = lowered
+        shares = {share.tag: share.fraction for share in lowered.values()}
+        if not self._settings.uses_zone_findings:
+            return ZoneFindings(shares)
+        return ZoneFindings(
+            shares, self._silent_in_other_zones(now_s), self._loads.rows(now_s)
+        )
+
+    def _silent_in_other_zones(self, now_s: float) -> frozenset[Tag]:
+        recent = (
+            silent
+            for told_at_s, silent in self._silent_elsewhere.values()
+            if now_s - told_at_s <= FINDINGS_TTL_S
+        )
+        return frozenset().union(*recent)
+
+    def _zone_of(self, tag: Tag) -> ZoneId | None:
+        entry = self._directory.by_tag(tag)
+        return None if entry is None else entry.upstream.zone
+
+    def _notify_changes(self, lowered: Mapping[Tag, Share]) -> None:
+        for tag, share in lowered.items():
+            if tag not in self._lowered:
+                self._observer.share_lowered(share)
+        for tag, share in self._lowered.items():
+            if tag not in lowered:
+                self._observer.share_restored(share)
--- a/src/wisteriatiller/steering/flowtable.py
+++ b/src/wisteriatiller/steering/flowtable.py
@@ -29,7 +29,8 @@
 
     ``next_sequence`` is the sequence number after all data that the client has sent,
     the newest of it at ``sent_at_s``; None until the flow is open. ``repeats`` counts
-    retransmissions since the client last acknowledged new data.
+    retransmissions since the client last acknowledged new data, and
+    ``stalled_repeats`` those since the client last sent or acknowledged new data.
     ``tried`` holds the upstreams that left an opening packet unanswered.
     """
 
@@ -43,6 +44,7 @@
         "opening_sequence",
         "repeats",
         "sent_at_s",
+        "stalled_repeats",
         "state",
         "tried",
         "upstream_id",
@@ -60,9 +62,15 @@
         self.sent_at_s = now_s
         self.acknowledged = 0
         self.repeats = 0
+        self.stalled_repeats = 0
         # Send time of the request that is still unanswered, if any.
         self.asked_at_s: float | None = None
 
+    def has_pending_request(self, now_s: float, max_age_s: float) -> bool:
+        """Whether a request that is not older than ``max_age_s`` has no answer yet."""
+        is_asking = self.state is FlowState.OPEN and self.asked_at_s is not None
+        return is_asking and now_s - self.asked_at_s <= max_age_s
+
 
 def is_sequence_after(number: int, other: int) -> bool:
     """Whether a sequence number comes after another, modulo 2**32.
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -13,6 +13,7 @@
 from .datapath import DataPath, bind_data_socket
 from .directory import UpstreamDirectory
 from .directorypoller import DirectoryPoller
+from .evidence import ZoneEvidence
 from .peers import UNKNOWN_ZONE, Peer, PeerRegistry
 from .ports import PacketCodec, StoreReader
 from .reporting import Reporter
@@ -25,7 +26,6 @@
 from .status import steering_status
 from .steering import FlowSteering
 from .storepolling import StateObserver
-from .zonelatencies import ZoneLatencies
 
 READY_PATH = "/ready"
 STATUS_PATH = "/status"
@@ -122,11 +122,12 @@
             loop,
             HttpSnapshotClient(loop, settings, log),
             self._shared,
-            ZoneLatencies(
+            ZoneEvidence(
+                settings,
                 own_peer.address,
                 self.directory,
-                self.steering.latencies,
-                self.steering.shares,
+                self.steering.recorder,
+                self.steering.findings,
                 reporter,
             ),
             (config_watcher, directory_poller),
--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -58,6 +58,9 @@
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     UPSTREAM_GONE = "upstream_gone"
+    UPSTREAM_SILENT = "upstream_silent"
+    ZONE_EVACUATED = "zone_evacuated"
+    OVERLOADED = "overloaded"
 
 
 class DiscardReason(Enum):
--- a/src/wisteriatiller/steering/peers.py
+++ b/src/wisteriatiller/steering/peers.py
@@ -104,6 +104,16 @@
         )
         return min(earlier, default=None)
 
+    def first_of_other_zones(self, now_s: float) -> list[Peer]:
+        """The first available host of each other zone, which is likely its reader."""
+        self._expire(now_s)
+        first: dict[ZoneId, Peer] = {}
+        for peer in self._last_seen_at_s:
+            is_other = peer.zone not in (self.own.zone, UNKNOWN_ZONE)
+            if is_other and self._is_available(peer.address, now_s):
+                first[peer.zone] = min(peer, first.get(peer.zone, peer))
+        return list(first.values())
+
     def available_peers(self, now_s: float) -> list[Peer]:
         """All hosts, of any zone, that may be asked for a snapshot."""
         return [
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -4,16 +4,15 @@
 from wisteriatiller.telemetry import Counters, EventLog
 
 from .directory import DirectoryEntry, UpstreamChange, UpstreamDirectory
+from .evidence import Share, ShareObserver
 from .flowtable import Flow
 from .packets import Discard, LossEvidence, Packet, Refuse, format_flow
 from .ports import ConfigInvalid, StoreFailure
 from .routes import ConfigVersion, ConfigView, Route
 from .sharing import Source
-from .slowupstreams import Share
 from .steering import SteeringObserver
 from .storepolling import LOST_AFTER_FAILURES, StateObserver
 from .upstreams import Listing
-from .zonelatencies import ShareObserver
 
 # A flow that takes longer to open has probably lost a packet.
 SLOW_OPENING_S = 0.15
--- a/src/wisteriatiller/steering/settings.py
+++ b/src/wisteriatiller/steering/settings.py
@@ -17,6 +17,11 @@
     configuration must be applied within ``config_bound_s`` of its write to the store,
     and a view that was last confirmed longer ago rejects no flow for lack of a route.
     The store may answer a watch up to ``watch_slack_s`` after the end of its wait.
+    ``uses_zone_findings`` lets the hosts of a zone judge upstreams together; without it
+    they only share the response times of slow ones. An evacuation of a zone must be
+    applied within ``evacuation_bound_s``; None if zones are not evacuated here. A cold
+    upstream may get ``warmup_overage`` times its service's rate of new flows, and
+    ``warmup_slack_flows`` more, in any second.
     """
 
     host_id: HostId
@@ -39,6 +44,10 @@
     store_timeout_s: float = 1.0
     store_retry_s: float = 0.25
     peer_timeout_s: float = 0.6
+    uses_zone_findings: bool = False
+    evacuation_bound_s: float | None = None
+    warmup_overage: float = 1.0
+    warmup_slack_flows: float = 0.0
 
     @property
     def watch_wait_s(self) -> float:
--- a/src/wisteriatiller/steering/sharedstate.py
+++ b/src/wisteriatiller/steering/sharedstate.py
@@ -1,16 +1,14 @@
 """Holds the state that hosts share and builds snapshots and requests from it."""
 
-from collections.abc import Mapping
-
 from wisteriatiller.ids import Address
 
 from .directory import UpstreamDirectory
-from .latencies import LatencyReport
+from .evidence import HostReport, ZoneFindings
 from .peers import Peer, PeerRegistry
 from .routes import ConfigView, RouteConfig
 from .settings import SteeringSettings
 from .snapshots import Snapshot, SnapshotRequest
-from .upstreams import ListingDelta, ListingVersion, Tag
+from .upstreams import ListingDelta, ListingVersion
 
 # An older listing shows that the host which reads it has lost the store.
 MAX_FRESH_LISTING_AGE_S = 1.3
@@ -61,7 +59,7 @@
         return is_config_recent and _is_within(listing_age_s, MAX_RECENT_LISTING_AGE_S)
 
     def build_request(
-        self, wants_peers: bool, wants_large_config: bool, report: LatencyReport = ()
+        self, wants_peers: bool, wants_large_config: bool, report: HostReport = ()
     ) -> SnapshotRequest:
         return SnapshotRequest(
             address=self.registry.own.address,
@@ -74,13 +72,18 @@
             report=report,
         )
 
+    def build_findings_request(self) -> SnapshotRequest:
+        """Return a request to a reader of another zone for its findings alone."""
+        request = self.build_request(wants_peers=False, wants_large_config=False)
+        return request._replace(wants_only_findings=True)
+
     def build_snapshot(
         self,
         request: SnapshotRequest,
         is_reading: bool,
         has_lost_store: bool,
         reader: Address | None,
-        shares: Mapping[Tag, float],
+        findings: ZoneFindings,
         now_s: float,
     ) -> Snapshot:
         """The state that is newer than the request's; also registers its sender.
@@ -96,12 +99,12 @@
         has_newer_listing = directory.position > request.directory_position
         return Snapshot(
             config_version=view.version,
-            config=self._config_for(request),
+            config=None if request.wants_only_findings else self._config_for(request),
             config_age_s=config_age_s,
             directory_position=directory.position,
             listing_delta=(
                 self._delta_since(request.listing_version)
-                if has_newer_listing
+                if has_newer_listing and not request.wants_only_findings
                 else None
             ),
             listing_age_s=listing_age_s,
@@ -110,7 +113,7 @@
             has_lost_store=has_lost_store,
             reader=reader,
             peers=self._all_peers() if request.wants_peers else (),
-            shares=shares,
+            findings=findings,
         )
 
     def _are_fresh(
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -16,12 +16,13 @@
 
 from .configwatcher import ConfigWatcher
 from .directorypoller import DirectoryPoller
+from .evidence import NO_FINDINGS, HostReport, ZoneEvidence
 from .peers import Peer, SnapshotClient
 from .settings import SteeringSettings
 from .sharedstate import SharedState
 from .snapshots import Snapshot, SnapshotRequest
 from .storepolling import StateObserver
-from .zonelatencies import ZoneLatencies
+from .zoneexchange import ZoneExchange
 
 # Older state in a snapshot is ignored, since it is too old to act on.
 MAX_SNAPSHOT_AGE_S = 30.0
@@ -53,7 +54,7 @@
         scheduler: Scheduler,
         client: SnapshotClient,
         state: SharedState,
-        zone_latencies: ZoneLatencies,
+        evidence: ZoneEvidence,
         pollers: tuple[ConfigWatcher, DirectoryPoller],
         observer: StateObserver,
         on_source_changed: Callable[[Source, str], None],
@@ -63,7 +64,8 @@
         self._client = client
         self._state = state
         self._registry = state.registry
-        self._zone_latencies = zone_latencies
+        self._evidence = evidence
+        self._zone_exchange = ZoneExchange(scheduler, client, state, evidence)
         self._config_watcher, self._directory_poller = pollers
         self._directory_poller.on_listing_read = self._resume_config_watch
         self._observer = observer
@@ -95,7 +97,7 @@
         self._ask_at_startup()
 
     def build_snapshot(self, request: SnapshotRequest) -> Snapshot:
-        """Answer a host that asks for newer state, and aggregate its latency report."""
+        """Answer a host that asks for newer state, and aggregate its report."""
         reads_itself = self.source is Source.STORE
         has_lost_store = reads_itself and self._has_lost_store()
         is_reading = reads_itself and not has_lost_store
@@ -103,10 +105,11 @@
         reader = None if self._reader is None else self._reader.address
         if request.config_version > self._state.view.version:
             self._peer_ahead = Peer(request.address, request.zone)
-        self._zone_latencies.add_report(request.address, request.report, now_s)
-        shares = self._zone_latencies.update_shares(now_s) if is_reading else {}
+        self._evidence.add_report(request.address, request.report, now_s)
+        aggregates = is_reading or (reads_itself and self._settings.uses_zone_findings)
+        findings = self._evidence.update_findings(now_s) if aggregates else NO_FINDINGS
         return self._state.build_snapshot(
-            request, is_reading, has_lost_store, reader, shares, now_s
+            request, is_reading, has_lost_store, reader, findings, now_s
         )
 
     def _has_lost_store(self) -> bool:
@@ -206,12 +209,25 @@
                 self._peers_exchanged_at_s = now_s
             handle(peer, snapshot)
 
-        report = self._zone_latencies.take_report() if peer == self._reader else ()
         request = self._state.build_request(
-            wants_peers, self._wants_large_config(), report
+            wants_peers, self._wants_large_config(), self._report_for(peer, now_s)
         )
         self._client.fetch(peer.address, request, finish)
 
+    def _report_for(self, peer: Peer, now_s: float) -> HostReport:
+        """What this host reports to a peer: everything to its reader, else nothing.
+
+        Without a reader it still reports to the first host of its zone, which goes on
+        to aggregate while the store is lost.
+        """
+        is_first = (
+            self._settings.uses_zone_findings
+            and not self._decline_reasons
+            and peer == self._registry.preferred_reader(now_s)
+        )
+        is_reporting = peer == self._reader or is_first
+        return self._evidence.take_report(now_s) if is_reporting else ()
+
     def _wants_large_config(self) -> bool:
         """Whether this host cannot read the newest configuration from the store."""
         pollers = (self._config_watcher, self._directory_poller)
@@ -228,11 +244,12 @@
             self._decline_reasons.append(f"{peer.address} {_decline_reason(snapshot)}")
             if snapshot is not None:
                 self._learn_from_decline(snapshot)
+                self._apply_findings_of_decline(snapshot, now_s)
             self._ask_reader_or_store()
             return
         self._registry.add(peer, now_s)
         self._reader = peer
-        self._zone_latencies.apply_shares(snapshot.shares, now_s)
+        self._evidence.apply_findings(snapshot.findings, now_s)
         self._apply_snapshot(peer, snapshot, snapshot.store_healthy_s)
         if self.source is Source.STORE:
             self.source = Source.PEER
@@ -240,6 +257,13 @@
             self._directory_poller.pause()
             self._on_source_changed(self.source, f"follows {peer.address}")
 
+    def _apply_findings_of_decline(self, snapshot: Snapshot, now_s: float) -> None:
+        """Apply what the first host of the zone finds, though it reads no store."""
+        is_first = len(self._decline_reasons) == 1
+        has_findings = is_first and snapshot.findings != NO_FINDINGS
+        if has_findings and self._settings.uses_zone_findings:
+            self._evidence.apply_findings(snapshot.findings, now_s)
+
     def _learn_from_decline(self, snapshot: Snapshot) -> None:
         """Learn the reader of a host that declined, or that the host lost the store."""
         now_s = self._scheduler.now_s()
@@ -271,8 +295,10 @@
         """Read the store, and only its listing while the store may be down."""
         self._reader = None
         now_s = self._scheduler.now_s()
-        # A reader that no host asks still has to evaluate its own latencies.
-        self._zone_latencies.update_shares(now_s)
+        # A reader that no host asks still has to evaluate what it sees itself.
+        self._evidence.update_findings(now_s)
+        if self._settings.uses_zone_findings:
+            self._zone_exchange.ask_other_zones()
         uses_long_backoff = now_s < self._store_lost_until_s
         self._directory_poller.resume(uses_long_backoff)
         if self._directory_poller.is_failing():
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -7,7 +7,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import NamedTuple, TypeVar
 
 from wisteriatiller.exceptions import MessageError
@@ -21,13 +21,27 @@
     ZoneId,
 )
 
-from .latencies import BUCKETS, LatencyHistogram, LatencyReport
+from .evidence import (
+    BUCKETS,
+    NO_PROGRESS_MS,
+    HostReport,
+    ServiceLoad,
+    UpstreamReport,
+    ZoneFindings,
+)
 from .packets import ServiceAddress
-from .routes import ConfigVersion, Route, RouteConfig, WeightedService
+from .routes import (
+    ConfigVersion,
+    RequestKind,
+    Route,
+    RouteConfig,
+    WarmupSettings,
+    WeightedService,
+)
 from .upstreams import ListingDelta, ListingVersion, Tag, Upstream, UpstreamState
 
 MAX_SNAPSHOT_BYTES = 8_000_000
-FORMAT_VERSION = 5
+FORMAT_VERSION = 6
 # Compressing smaller parts would save less than a packet.
 MIN_COMPRESSED_BYTES = 1_200
 COMPRESSION_LEVEL = 1
@@ -42,8 +56,9 @@
     """A request for newer state, with the sender and the versions that it has.
 
     ``wants_large_config`` asks for a configuration of any size; without it, a large
-    one has to be read from the store. ``report`` holds the response times that the
-    sender has seen since its last report.
+    one has to be read from the store. ``wants_only_findings`` asks a reader of another
+    zone for nothing else. ``report`` holds what the sender has seen of upstreams since
+    its last report.
     """
 
     address: Address
@@ -53,7 +68,8 @@
     listing_version: ListingVersion
     wants_peers: bool
     wants_large_config: bool
-    report: LatencyReport = ()
+    wants_only_findings: bool = False
+    report: HostReport = ()
 
 
 class Snapshot(NamedTuple):
@@ -62,8 +78,8 @@
     ``is_fresh`` says that other hosts may follow this one as their reader, and
     ``has_lost_store`` that its calls to the store fail. ``reader`` is the host that
     reads the store for it. ``store_healthy_s`` is how long the store has been read
-    without a failure. An age is None if there is no such state. ``shares`` holds the
-    fractions of the upstreams that get less than their usual share of new flows.
+    without a failure. An age is None if there is no such state. ``findings`` holds what
+    the host's zone has found out of upstreams.
     """
 
     config_version: ConfigVersion
@@ -77,18 +93,19 @@
     has_lost_store: bool
     reader: Address | None
     peers: tuple[tuple[Address, ZoneId], ...]
-    shares: Mapping[Tag, float]
+    findings: ZoneFindings
 
 
 def encode_request(request: SnapshotRequest) -> str:
     """Encode a request as the query of a URL.
 
-    ``10.1.0.10:8166,quimper-a,7,1.530,9120434,1,0,``
+    ``10.1.0.10:8166,quimper-a,7,1.530,9120434,1,0,0,``
     """
     fields = request._replace(
         directory_position=".".join(map(str, request.directory_position)),
         wants_peers=int(request.wants_peers),
         wants_large_config=int(request.wants_large_config),
+        wants_only_findings=int(request.wants_only_findings),
         report=_encode_report(request.report),
     )
     return ",".join(map(str, fields))
@@ -99,7 +116,7 @@
     try:
         address, zone, version, position, listing, *wants = query.split(",")
         epoch, revision = map(int, position.split("."))
-        wants_peers, wants_large, report = wants
+        wants_peers, wants_large, wants_only_findings, report = wants
         return SnapshotRequest(
             address=Address.parse(address),
             zone=ZoneId(zone),
@@ -108,27 +125,46 @@
             listing_version=ListingVersion(int(listing)),
             wants_peers=bool(int(wants_peers)),
             wants_large_config=bool(int(wants_large)),
+            wants_only_findings=bool(int(wants_only_findings)),
             report=_decode_report(report),
         )
     except ValueError as error:
         raise MessageError(f"unreadable snapshot request: {error}") from error
 
 
-def _encode_report(report: LatencyReport) -> str:
-    """Encode each upstream's tag and counts, separated by dots.
+def _encode_report(report: HostReport) -> str:
+    """Encode each upstream's numbers, separated by dots.
 
-    ``1730542071.0.2.5.1.0.0.0.0;99120.0.0.0.0.0.0.0.1``
+    The tag and the histogram come first; the other numbers follow only if one of them
+    says anything.
+
+    ``1730542071.0.2.5.1.0.0.0.0;99120.0.0.0.0.0.0.0.1.2.1.840.3.0``
     """
-    return ";".join(".".join(map(str, (tag, *counts))) for tag, counts in report)
+    return ";".join(".".join(map(str, _report_numbers(row))) for row in report)
+
 
+def _report_numbers(row: UpstreamReport) -> tuple[int, ...]:
+    tag, counts, *activity = row
+    is_default = row == UpstreamReport(tag, counts)
+    return (tag, *counts) if is_default else (tag, *counts, *activity)
 
-def _decode_report(text: str) -> LatencyReport:
+
+def _decode_report(text: str) -> HostReport:
     if not text:
         return ()
     rows = [tuple(map(int, part.split("."))) for part in text.split(";")]
-    if any(len(row) != 1 + BUCKETS or min(row) < 0 for row in rows):
-        raise MessageError("invalid latency report in a snapshot request")
-    return tuple(LatencyHistogram(Tag(tag), tuple(counts)) for tag, *counts in rows)
+    return tuple(map(_decode_report_row, rows))
+
+
+def _decode_report_row(numbers: tuple[int, ...]) -> UpstreamReport:
+    tag, *rest = numbers
+    activity = rest[BUCKETS:]
+    if len(rest) not in (BUCKETS, BUCKETS + 5) or min(numbers) < NO_PROGRESS_MS:
+        raise MessageError("invalid report in a snapshot request")
+    counts = tuple(rest[:BUCKETS])
+    if min(tag, *counts) < 0:
+        raise MessageError("negative number in a snapshot request")
+    return UpstreamReport(Tag(tag), counts, *activity)
 
 
 class SnapshotEncoder:
@@ -146,9 +182,9 @@
             config=self._encode_part(snapshot.config, _encode_config),
             listing_delta=self._encode_part(snapshot.listing_delta, _encode_delta),
             peers=[[*address, zone] for address, zone in snapshot.peers],
-            shares=list(snapshot.shares.items()),
+            findings=_encode_findings(snapshot.findings),
         )
-        return msgpack.packb([FORMAT_VERSION, *fields])
+        return msgpack.packb([FORMAT_VERSION, *fields], use_single_float=True)
 
     def _encode_part(
         self, part: _Part | None, encode: Callable[[_Part], list]
@@ -226,7 +262,7 @@
             (Address(str(ip), int(port)), ZoneId(str(zone)))
             for ip, port, zone in raw.peers
         ),
-        shares={Tag(int(tag)): _decode_fraction(part) for tag, part in raw.shares},
+        findings=_decode_findings(*raw.findings),
     )
 
 
@@ -235,6 +271,36 @@
     return StorePosition(StoreEpoch(int(epoch)), Revision(int(revision)))
 
 
+def _encode_findings(findings: ZoneFindings) -> list:
+    return [
+        list(findings.shares.items()),
+        list(findings.silent),
+        [list(load) for load in findings.loads],
+    ]
+
+
+def _decode_findings(shares: list, silent: list, loads: list) -> ZoneFindings:
+    return ZoneFindings(
+        shares={Tag(int(tag)): _decode_fraction(part) for tag, part in shares},
+        silent=frozenset(Tag(int(tag)) for tag in silent),
+        loads=tuple(_decode_load(*load) for load in loads),
+    )
+
+
+def _decode_load(
+    reporting_zone, service, upstream_zone, in_flight, answers, openings, age_s
+) -> ServiceLoad:
+    return ServiceLoad(
+        reporting_zone=ZoneId(str(reporting_zone)),
+        service=ServiceId(str(service)),
+        upstream_zone=ZoneId(str(upstream_zone)),
+        in_flight=max(0, int(in_flight)),
+        answers_per_s=max(0.0, float(answers)),
+        openings_per_s=max(0.0, float(openings)),
+        age_s=max(0.0, float(age_s)),
+    )
+
+
 def _decode_fraction(part: object) -> float:
     return min(1.0, max(0.0, float(part)))
 
@@ -251,30 +317,46 @@
 
 def _encode_config(config: RouteConfig) -> list:
     routes = [
-        [route.name, route.service_address, [list(part) for part in route.services]]
+        list(
+            route._replace(
+                services=[list(part) for part in route.services], kind=route.kind.value
+            )
+        )
         for route in config.routes
     ]
-    return [config.version, routes, config.idle_timeout_ms]
+    warmups = [list(warmup) for warmup in config.warmups]
+    return [config.version, routes, config.idle_timeout_ms, warmups]
 
 
 def _decode_config(fields: list | None) -> RouteConfig | None:
     if fields is None:
         return None
-    version, routes, idle_timeout_ms = fields
+    version, routes, idle_timeout_ms, warmups = fields
     return RouteConfig(
         version=ConfigVersion(int(version)),
-        routes=tuple(
-            Route(
-                name=str(name),
-                service_address=ServiceAddress(bytes(service_address)),
-                services=tuple(
-                    WeightedService(ServiceId(str(service)), float(weight))
-                    for service, weight in services
-                ),
-            )
-            for name, service_address, services in routes
-        ),
+        routes=tuple(_decode_route(*route) for route in routes),
         idle_timeout_ms=int(idle_timeout_ms),
+        warmups=tuple(
+            WarmupSettings(ServiceId(str(service)), float(warmup_s), float(per_s))
+            for service, warmup_s, per_s in warmups
+        ),
+    )
+
+
+def _decode_route(
+    name, service_address, services, kind, priority, target_latency_ms, timeout_ms
+) -> Route:
+    return Route(
+        name=str(name),
+        service_address=ServiceAddress(bytes(service_address)),
+        services=tuple(
+            WeightedService(ServiceId(str(service)), float(weight))
+            for service, weight in services
+        ),
+        kind=RequestKind(kind),
+        priority=int(priority),
+        target_latency_ms=int(target_latency_ms),
+        timeout_ms=int(timeout_ms),
     )
 
 
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -11,10 +11,8 @@
 from wisteriatiller.ids import UpstreamId
 
 from .directory import DirectoryEntry, Presence, UpstreamChange, UpstreamDirectory
-from .flowloss import FlowLossDetector
+from .evidence import FindingsView, FlowLossDetector, OutlierDetector, UpstreamRecorder
 from .flowtable import Flow, FlowState, FlowTable, is_sequence_after
-from .latencies import LatencyRecorder
-from .outlierdetection import OutlierDetector
 from .packets import (
     Decision,
     Discard,
@@ -26,10 +24,9 @@
     Refuse,
 )
 from .routes import ConfigView, Route
+from .selection import LeastFlowsSelector, UpstreamSelector
 from .settings import SteeringSettings
-from .slowupstreams import Shares
 from .upstreams import NO_TAG
-from .upstreamselection import LeastFlowsSelector, UpstreamSelector
 
 # Clients retransmit after 200 ms; packets that were reordered on the way come closer
 # together.
@@ -91,18 +88,14 @@
         self._config = config
         self._observer = observer
         self.outliers = OutlierDetector()
-        self.latencies = LatencyRecorder()
-        self.shares = Shares()
+        self.recorder = UpstreamRecorder(settings.uses_zone_findings)
+        self.findings = FindingsView()
         self.flows = FlowTable(settings.flow_idle_s)
         self._losses = FlowLossDetector(self.flows, self.outliers)
         self._unconfirmed_openings: deque[Flow] = deque()
         self._unanswered_requests: deque[tuple[Flow, float]] = deque()
         self.selector: UpstreamSelector = LeastFlowsSelector(
-            settings.zone,
-            settings.remote_weight,
-            self.flows,
-            self.outliers,
-            self.shares,
+            settings, config, self.flows, self.outliers, self.findings
         )
 
     def steer(self, packet: Packet, now_s: float) -> Decision:
@@ -124,6 +117,7 @@
         for change in changes:
             if change.presence is Presence.GONE:
                 self.outliers.reset(change.upstream.upstream_id)
+                self.recorder.forget(change.upstream.upstream_id)
 
     def _steer_opening(self, packet: Packet, now_s: float) -> Decision:
         self._report_unconfirmed_openings(now_s)
@@ -168,7 +162,7 @@
             self._unanswered_requests.popleft()
             if flow.asked_at_s != asked_at_s:
                 continue
-            self.latencies.record_timeout(flow.upstream_id)
+            self.recorder.record_timeout(flow.upstream_id)
             if self.outliers.health_of(flow.upstream_id).record_missing_answer(
                 asked_at_s, now_s
             ):
@@ -223,6 +217,7 @@
         flow.opening_sequence = packet.sequence
         flow.sent_at_s = now_s
         self._unconfirmed_openings.append(flow)
+        self.recorder.record_opening(upstream_id)
         reason = (
             "trial"
             if selection.is_trial
@@ -298,9 +293,11 @@
         if self._has_new_data(flow, packet):
             flow.next_sequence = packet.end_sequence
             flow.sent_at_s = now_s
+            flow.stalled_repeats = 0
             self._record_request(flow, packet, now_s)
         elif now_s - flow.sent_at_s >= MIN_RETRANSMIT_INTERVAL_S:
             flow.repeats += 1
+            flow.stalled_repeats += 1
             self._record_missing_answer(flow, now_s, is_opening=False)
 
     def _has_new_data(self, flow: Flow, packet: Packet) -> bool:
@@ -317,12 +314,14 @@
             flow.next_sequence = packet.end_sequence
         flow.sent_at_s = now_s
         flow.repeats = 0
+        flow.stalled_repeats = 0
 
     def _record_request(self, flow: Flow, packet: Packet, now_s: float) -> None:
         if packet.payload_bytes and flow.asked_at_s is None:
             self._report_unanswered_requests(now_s)
             flow.asked_at_s = now_s
             self._unanswered_requests.append((flow, now_s))
+            self.recorder.record_request(flow)
 
     def _record_answer(self, flow: Flow, packet: Packet, now_s: float) -> None:
         """Treat an advancing acknowledgement as the answer to the pending request."""
@@ -336,10 +335,11 @@
         # its time is not the response time.
         if not packet.payload_bytes:
             health.record_response_time(now_s - asked_at_s)
-            self.latencies.record_answer(flow.upstream_id, now_s - asked_at_s)
+            self.recorder.record_answer(flow.upstream_id, now_s - asked_at_s)
             self._observer.request_answered(flow, now_s - asked_at_s)
 
     def _record_progress(self, flow: Flow, now_s: float) -> None:
+        self.recorder.record_progress(flow.upstream_id, now_s)
         if self.outliers.health_of(flow.upstream_id).record_progress(now_s):
             self._observer.upstream_trusted(flow.upstream_id)
 
@@ -347,7 +347,8 @@
         self, flow: Flow, now_s: float, is_opening: bool
     ) -> None:
         if is_opening:
-            self.latencies.record_timeout(flow.upstream_id)
+            self.recorder.record_timeout(flow.upstream_id)
+            self.recorder.record_failed_opening(flow.upstream_id)
         health = self.outliers.health_of(flow.upstream_id)
         if health.record_retransmission(flow.key, flow.sent_at_s, now_s, is_opening):
             self._observer.upstream_suspected(
--- /dev/null
+++ b/src/wisteriatiller/steering/zoneexchange.py
@@ -0,0 +1,56 @@
+"""Asks the readers of other zones for what the hosts of their zones have found out."""
+
+from wisteriatiller.ids import ZoneId
+from wisteriatiller.network.loop import Scheduler
+
+from .evidence import ZoneEvidence
+from .peers import Peer, SnapshotClient
+from .sharedstate import SharedState
+from .snapshots import Snapshot
+
+
+class ZoneExchange:
+    """Fetches the findings of each other zone, one request at a time for each."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        client: SnapshotClient,
+        state: SharedState,
+        evidence: ZoneEvidence,
+    ):
+        self._scheduler = scheduler
+        self._client = client
+        self._state = state
+        self._evidence = evidence
+        self._pending: set[ZoneId] = set()
+        # The reader of each zone, as a host that follows it has told.
+        self._readers: dict[ZoneId, Peer] = {}
+
+    def ask_other_zones(self) -> None:
+        """Ask one host of each other zone, unless an answer is still awaited."""
+        now_s = self._scheduler.now_s()
+        for first in self._state.registry.first_of_other_zones(now_s):
+            if first.zone not in self._pending:
+                self._ask(self._readers.pop(first.zone, first))
+
+    def _ask(self, peer: Peer) -> None:
+        self._pending.add(peer.zone)
+        self._client.fetch(
+            peer.address,
+            self._state.build_findings_request(),
+            lambda snapshot: self._handle_snapshot(peer, snapshot),
+        )
+
+    def _handle_snapshot(self, peer: Peer, snapshot: Snapshot | None) -> None:
+        self._pending.discard(peer.zone)
+        registry, now_s = self._state.registry, self._scheduler.now_s()
+        if snapshot is None:
+            registry.back_off(peer.address, now_s, is_unreachable=True)
+            return
+        registry.add(peer, now_s)
+        if snapshot.reader is not None:
+            self._readers[peer.zone] = Peer(snapshot.reader, peer.zone)
+            return
+        self._readers[peer.zone] = peer
+        self._evidence.set_foreign_findings(peer.zone, snapshot.findings, now_s)
--- a/testbed/bench_steering.py
+++ b/testbed/bench_steering.py
@@ -12,8 +12,8 @@
 import argparse
 from collections.abc import Callable
 
+from wisteriatiller.steering.selection import UpstreamSelector
 from wisteriatiller.steering.steering import FlowSteering
-from wisteriatiller.steering.upstreamselection import UpstreamSelector
 
 from .flowpolicies import LeastFlowsChooser, RendezvousChooser, TwoChoicesChooser
 from .flowworld import FlowSizes, FlowWorld, WorkingUpstream
--- a/testbed/flowpolicies.py
+++ b/testbed/flowpolicies.py
@@ -7,8 +7,8 @@
 from abc import abstractmethod
 
 from wisteriatiller.placement import PlacementTable
+from wisteriatiller.steering.selection import Selection, UpstreamSelector
 from wisteriatiller.steering.steering import FlowSteering
-from wisteriatiller.steering.upstreamselection import Selection, UpstreamSelector
 
 LOCAL_WEIGHT = 8.0
 
--- a/testbed/flowworld.py
+++ b/testbed/flowworld.py
@@ -23,9 +23,9 @@
 )
 from wisteriatiller.steering.directory import UpstreamDirectory
 from wisteriatiller.steering.routes import ConfigView
+from wisteriatiller.steering.selection import UpstreamSelector
 from wisteriatiller.steering.steering import FlowSteering, SteeringObserver
 from wisteriatiller.steering.upstreams import NO_TAG, upstream_tag
-from wisteriatiller.steering.upstreamselection import UpstreamSelector
 
 from .steeringparts import (
     COPY_TIMES_S,
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -6,12 +6,16 @@
 from wisteriatiller.steering.configwatcher import ConfigWatcher
 from wisteriatiller.steering.directory import UpstreamDirectory
 from wisteriatiller.steering.directorypoller import DirectoryPoller
-from wisteriatiller.steering.latencies import LatencyRecorder
+from wisteriatiller.steering.evidence import (
+    FindingsView,
+    ShareObserver,
+    UpstreamRecorder,
+    ZoneEvidence,
+)
 from wisteriatiller.steering.peers import Peer, PeerRegistry, SnapshotClient
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.sharedstate import SharedState
 from wisteriatiller.steering.sharing import ReadSharing
-from wisteriatiller.steering.slowupstreams import Shares
 from wisteriatiller.steering.snapshots import (
     SnapshotEncoder,
     decode_request,
@@ -19,7 +23,6 @@
     encode_request,
 )
 from wisteriatiller.steering.storepolling import StateObserver
-from wisteriatiller.steering.zonelatencies import ShareObserver, ZoneLatencies
 
 PEER_DELAY_S = 0.003
 PEER_TIMEOUT_S = 0.6
@@ -156,13 +159,14 @@
             DirectoryPoller(*poller_arguments, self.directory, self.observer),
         )
         self.snapshot_encoder = SnapshotEncoder()
-        self.latencies = LatencyRecorder()
-        self.shares = Shares()
-        self.zone_latencies = ZoneLatencies(
+        self.recorder = UpstreamRecorder(settings.uses_zone_findings)
+        self.findings = FindingsView()
+        self.evidence = ZoneEvidence(
+            settings,
             own_peer.address,
             self.directory,
-            self.latencies,
-            self.shares,
+            self.recorder,
+            self.findings,
             NoOpShareObserver(),
         )
         self.sharing = ReadSharing(
@@ -170,7 +174,7 @@
             self._process,
             FakeSnapshotClient(fleet, self.name, self._process),
             self.state,
-            self.zone_latencies,
+            self.evidence,
             self.pollers,
             self.observer,
             lambda source, reason: None,
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -10,7 +10,7 @@
 from wisteriatiller.ids import Address
 from wisteriatiller.steering import Listing, UpstreamState
 from wisteriatiller.steering.directory import Presence, UpstreamDirectory
-from wisteriatiller.steering.outlierdetection import HealthState
+from wisteriatiller.steering.evidence import HealthState
 from wisteriatiller.steering.upstreams import NO_LISTING
 
 OTHER_ADDRESS = Address("10.128.0.77", 8080)
--- a/tests/steps/flowchoice_steps.py
+++ b/tests/steps/flowchoice_steps.py
@@ -8,8 +8,8 @@
 from testbed.steeringparts import upstream
 from tests.steeringharness import SteeringHarness, established_packet, opening_packet
 from wisteriatiller.steering import Forward, PacketKind
+from wisteriatiller.steering.selection import sample_candidates
 from wisteriatiller.steering.upstreams import upstream_tag
-from wisteriatiller.steering.upstreamselection import sample_candidates
 
 ZONES = "abc"
 RETRANSMIT_WAITS_S = (0.0, 0.2, 0.4)
--- a/tests/steps/hostprocess_steps.py
+++ b/tests/steps/hostprocess_steps.py
@@ -229,7 +229,7 @@
 def when_peer_requests(context, pause_s):
     time.sleep(pause_s)
     host = context.host
-    url = f"http://{host.ip}:8166/snapshot?127.0.0.1:1,zone-a,0,0.0,0,1,1,"
+    url = f"http://{host.ip}:8166/snapshot?127.0.0.1:1,zone-a,0,0.0,0,1,1,0,"
     with urllib.request.urlopen(url, timeout=5) as response:
         assert response.status == 200, response.status
     assert host.process.poll() is None, host.error_path.read_text()
--- a/tests/steps/slowupstreams_steps.py
+++ b/tests/steps/slowupstreams_steps.py
@@ -8,8 +8,12 @@
 from tests.steeringharness import SteeringHarness, make_listing, opening_packet
 from wisteriatiller.ids import Address
 from wisteriatiller.steering.directory import UpstreamDirectory
-from wisteriatiller.steering.latencies import LatencyRecorder
-from wisteriatiller.steering.slowupstreams import Shares, SlowUpstreamDetector
+from wisteriatiller.steering.evidence import (
+    FindingsView,
+    SlowUpstreamDetector,
+    UpstreamRecorder,
+    ZoneFindings,
+)
 from wisteriatiller.steering.upstreams import upstream_tag
 
 REPORT_INTERVAL_S = 0.6
@@ -34,13 +38,15 @@
         """Report requests; ``wait_s`` returns a wait, or None for no answer."""
         for _ in range(round(duration_s / REPORT_INTERVAL_S)):
             self.now_s += REPORT_INTERVAL_S
-            seen = {host: LatencyRecorder() for host in self.hosts}
+            seen = {host: UpstreamRecorder() for host in self.hosts}
             for upstream_id in self.upstreams:
                 for _ in range(round(REQUESTS_PER_S * REPORT_INTERVAL_S)):
                     host = self.random.choice(self.hosts)
                     self._record(seen[host], upstream_id, wait_s(upstream_id, host))
             for host, latencies in seen.items():
-                self.detector.add_report(host, latencies.take_report(), self.now_s)
+                self.detector.add_report(
+                    host, latencies.take_report(self.now_s), self.now_s
+                )
 
     def _record(self, latencies, upstream_id, waited_s):
         if waited_s is None:
@@ -105,22 +111,22 @@
     zone = context.simulated
     zone.run(s, lambda upstream_id, host: 0.04)
     for host in zone.hosts[:count]:
-        latencies = LatencyRecorder()
+        latencies = UpstreamRecorder()
         for _ in range(slow):
             latencies.record_timeout(SLOW_ID)
-        zone.detector.add_report(host, latencies.take_report(), zone.now_s)
+        zone.detector.add_report(host, latencies.take_report(zone.now_s), zone.now_s)
 
 
 @when("a host applies the shares, and {s:g} seconds pass")
 def when_applied(context, s):
     zone = context.simulated
-    context.applied_shares = Shares()
+    context.applied = FindingsView()
     fractions = {
         tag: one.fraction
         for tag, one in zone.detector.reduced_shares(zone.now_s).items()
     }
-    context.applied_shares.set(fractions, zone.now_s)
-    assert context.applied_shares.fraction_for(upstream_tag(SLOW_ID), zone.now_s) < 1.0
+    context.applied.set(ZoneFindings(fractions), zone.now_s)
+    assert context.applied.share_of(upstream_tag(SLOW_ID), zone.now_s) < 1.0
     zone.now_s += s
 
 
@@ -148,9 +154,8 @@
 
 @then("upstream 3 has its full share on that host")
 def then_full_share(context):
-    fraction = context.applied_shares.fraction_for(
-        upstream_tag(SLOW_ID), context.simulated.now_s
-    )
+    tag, now_s = upstream_tag(SLOW_ID), context.simulated.now_s
+    fraction = context.applied.share_of(tag, now_s)
     assert fraction == 1.0, fraction
 
 
@@ -162,9 +167,9 @@
     context.fleet.store.put_upstreams(context.scheduler.now_s(), *made)
     for _ in range(round(s / 0.2)):
         for host in hosts:
-            host.latencies.record_answer("i-1", 0.5)
+            host.recorder.record_answer("i-1", 0.5)
             for upstream_id in fast:
-                host.latencies.record_answer(upstream_id, 0.03)
+                host.recorder.record_answer(upstream_id, 0.03)
         context.scheduler.run_for(0.2)
 
 
@@ -174,7 +179,7 @@
     return {
         host.name
         for host in context.fleet.hosts
-        if host.shares.fraction_for(tag, now_s) < 1.0
+        if host.findings.share_of(tag, now_s) < 1.0
     }
 
 
@@ -204,7 +209,8 @@
     context.chosen = []
     for number in range(count):
         world.now_s += 0.05
-        world.steering.shares.set({upstream_tag("i-1"): 0.125}, world.now_s)
+        lowered = ZoneFindings({upstream_tag("i-1"): 0.125})
+        world.steering.findings.set(lowered, world.now_s)
         context.chosen.append(world.steer(opening_packet(number)).upstream.upstream_id)
 
 
