Fetch the findings of each zone over a client of its own

Cause: the exchange with other zones used the client of the exchange in the zone, which has one request at a time. A second fetch aborted the first, whose answer never came, so that the host read the store from then on; a fetch from the same peer ended the process. Change: a client for each zone; the fake client of the tests rejects a fetch before the last answer.

--- a/src/wisteriatiller/steering/peers.py
+++ b/src/wisteriatiller/steering/peers.py
@@ -42,7 +42,15 @@
         request: SnapshotRequest,
         done: Callable[[Snapshot | None], None],
     ) -> None:
-        """Call ``done`` with the snapshot, or with None if the host returns none."""
+        """Call ``done`` with the snapshot, or with None if the host returns none.
+
+        A client has one request pending at a time; a fetch from another host before
+        its answer aborts it.
+        """
+
+    @abstractmethod
+    def separate(self) -> "SnapshotClient":
+        """Return a client whose requests are independent of those of this one."""
 
 
 class PeerRegistry:
--- a/src/wisteriatiller/steering/snapshotclient.py
+++ b/src/wisteriatiller/steering/snapshotclient.py
@@ -42,6 +42,9 @@
             lambda result: done(self._decode(peer, result)),
         )
 
+    def separate(self):
+        return HttpSnapshotClient(self._loop, self._settings, self._log)
+
     def _connect_to(self, peer: Address) -> None:
         if self._client is not None:
             self._client.close()
--- a/src/wisteriatiller/steering/zoneexchange.py
+++ b/src/wisteriatiller/steering/zoneexchange.py
@@ -23,6 +23,7 @@
         self._client = client
         self._state = state
         self._evidence = evidence
+        self._clients: dict[ZoneId, SnapshotClient] = {}
         self._pending: set[ZoneId] = set()
         # The reader of each zone, as a host that follows it has told.
         self._readers: dict[ZoneId, Peer] = {}
@@ -36,12 +37,18 @@
 
     def _ask(self, peer: Peer) -> None:
         self._pending.add(peer.zone)
-        self._client.fetch(
+        self._client_for(peer.zone).fetch(
             peer.address,
             self._state.build_findings_request(),
             lambda snapshot: self._handle_snapshot(peer, snapshot),
         )
 
+    def _client_for(self, zone: ZoneId) -> SnapshotClient:
+        client = self._clients.get(zone)
+        if client is None:
+            client = self._clients[zone] = self._client.separate()
+        return client
+
     def _handle_snapshot(self, peer: Peer, snapshot: Snapshot | None) -> None:
         self._pending.discard(peer.zone)
         registry, now_s = self._state.registry, self._scheduler.now_s()
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -96,15 +96,27 @@
     """Fetches snapshots from other hosts of the simulated fleet.
 
     Requests and snapshots are encoded as on the wire. Partitions, hosts that are down
-    and slow links delay or fail the call.
+    and slow links delay or fail the call. A fetch before the answer to the last one is
+    an error, since the real client would abort that one.
     """
 
     def __init__(self, fleet, name, scheduler):
         self._fleet = fleet
         self._name = name
         self._scheduler = scheduler
+        self._is_pending = False
 
     def fetch(self, peer, request, done):
+        assert not self._is_pending, f"{self._name} fetches before the last answer"
+        self._is_pending = True
+
+        def finish(snapshot):
+            self._is_pending = False
+            done(snapshot)
+
+        self._fetch(peer, request, finish)
+
+    def _fetch(self, peer, request, done):
         fleet = self._fleet
         host = fleet.hosts_by_address.get(peer)
         is_unreachable = (
@@ -130,6 +142,9 @@
 
         self._scheduler.call_later(PEER_DELAY_S, send_snapshot)
 
+    def separate(self):
+        return FakeSnapshotClient(self._fleet, self._name, self._scheduler)
+
 
 class SimulatedHost:
     """One host: its view of the store, its pollers and its part in read sharing."""
