Keep new flows from evacuated availability zones

Nothing in the program acted on the evacuations that operators write to the store, so that new flows went on to upstreams of an evacuated zone.

With evacuation_bound_s set, one read and one watch of the operators' prefix bring the configuration and the evacuations. EvacuationView keeps the whole set with its position; the newer position wins, whatever its source. The directory lists no entry of an evacuated zone as eligible, and a service whose upstreams are all in such zones is refused with zone_evacuated. Without the setting, the calls are as before.

The stand-ins of the store learn evacuations and return every event of a key.

--- a/src/wisteriatiller/operations/steeringcommands.py
+++ b/src/wisteriatiller/operations/steeringcommands.py
@@ -66,7 +66,7 @@
         if not answers:
             return
         header = ("host", "zone", "state", "reads from", "config", "config age s")
-        header += ("epoch", "listing", "listing age s", "flows", "peers")
+        header += ("epoch", "listing", "listing age s", "flows", "peers", "evacuated")
         print_line(format_table(header, [_host_row(answer) for answer in answers]))
         header = ("host", "upstream", "service", "zone", "state", "presence")
         header += ("verdict", "flows", "slots", "address")
@@ -143,6 +143,18 @@
         format_number(directory["age_s"], ".1f"),
         answer["flows"],
         len(answer["peers"]),
+        _format_evacuations(answer.get("evacuated")),
+    )
+
+
+def _format_evacuations(evacuated: dict | None) -> str:
+    """Return each evacuated zone and how long the host has known of it.
+
+    "-" stands for none, and for hosts that know of no evacuations.
+    """
+    zones = [] if evacuated is None else evacuated["zones"]
+    return (
+        ", ".join(f"{row['zone']} for {row['since_s']:.0f} s" for row in zones) or "-"
     )
 
 
--- /dev/null
+++ b/src/wisteriatiller/platform/pages.py
@@ -0,0 +1,46 @@
+"""Assembles what the store returns in pages, which are not a consistent snapshot."""
+
+from abc import ABC, abstractmethod
+
+from wisteriatiller.ids import NO_EPOCH, Revision, StoreEpoch
+
+
+class PageBuilder(ABC):
+    """Collects the items of all pages under a prefix.
+
+    ``last_key`` is the last key so far, after which the next page begins, and ``epoch``
+    is that of its pages.
+    """
+
+    prefix: str
+
+    def __init__(self, is_current: bool):
+        self.is_current = is_current
+        self.last_key = ""
+        self.epoch = NO_EPOCH
+        self._page_revisions: list[Revision] = []
+
+    def add_page(self, body: dict, epoch: StoreEpoch = NO_EPOCH) -> bool:
+        """Add one page; return whether it is the last one."""
+        if self._page_revisions and epoch != self.epoch:
+            raise ValueError(f"page of epoch {epoch} after one of {self.epoch}")
+        self.epoch = epoch
+        self._page_revisions.append(Revision(int(body["store_revision"])))
+        items = body["items"]
+        if items and items[0]["key"] <= self.last_key:
+            raise ValueError(
+                f"page does not continue the last one: {items[0]['key']!r}"
+            )
+        for item in items:
+            self._add_item(item)
+        if not body["truncated"] or not items:
+            return True
+        self.last_key = items[-1]["key"]
+        return False
+
+    @abstractmethod
+    def build(self) -> object:
+        """Return what the pages hold, after the last one."""
+
+    @abstractmethod
+    def _add_item(self, item: dict) -> None: ...
--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import re
 from collections.abc import Callable
 
 from wisteriatiller.ids import (
@@ -23,23 +24,27 @@
 from wisteriatiller.steering import Listing, SteeringSettings, StoreReader, Upstream
 from wisteriatiller.steering.ports import (
     ConfigAnswer,
-    ConfigInvalid,
     ConfigMissing,
-    ConfigRead,
-    ConfigUnchanged,
     HistoryExpired,
     StoreFailure,
     StoreFailureReason,
 )
 
+from .operatorvalues import (
+    CONFIG_KEY,
+    OPERATOR_PREFIX,
+    OperatorValuesBuilder,
+    answer_from_events,
+    config_answer_from_events,
+    decode_config_value,
+)
+from .pages import PageBuilder
 from .storedvalues import (
     StoredValueError,
-    decode_config,
     decode_upstream,
     is_valid_upstream_id,
 )
 
-CONFIG_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
 # In every response; it rises when the store comes back from an older copy.
 EPOCH_HEADER = "store-era"
@@ -48,6 +53,7 @@
 # Limit of a response body as a multiple of the largest value; allows for base64, JSON
 # and pages of many values.
 BODY_SIZE_FACTOR = 4
+_PLAIN_KEY = re.compile(r"[\w./-]*", re.ASCII)
 
 
 class PlatformStore(StoreReader):
@@ -70,6 +76,10 @@
         self._list_client = self._make_client()
 
     def read_config(self, on_answer):
+        if self._settings.has_evacuations:
+            builder = OperatorValuesBuilder()
+            self._request_page(self._config_client, builder, on_answer)
+            return
         self._get(
             self._config_client,
             f"/kv-key?key={CONFIG_KEY}",
@@ -79,20 +89,24 @@
 
     def watch_config(self, after, wait_s, on_answer):
         wait_ms = round(1000 * wait_s)
+        prefix, answer_from = CONFIG_KEY, config_answer_from_events
+        if self._settings.has_evacuations:
+            prefix, answer_from = OPERATOR_PREFIX, answer_from_events
         self._get(
             self._config_client,
-            f"/kv-watch?prefix={CONFIG_KEY}&after={after}&wait_ms={wait_ms}",
+            f"/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}",
             wait_s + self._settings.watch_slack_s,
-            lambda result: on_answer(_parse_watch_response(result)),
+            lambda result: on_answer(_parse_watch_response(result, answer_from)),
         )
 
     def list_upstreams(self, is_current, on_answer):
-        self._request_page(ListingBuilder(is_current), on_answer)
+        self._request_page(self._list_client, ListingBuilder(is_current), on_answer)
 
     def _request_page(
         self,
-        builder: "ListingBuilder",
-        on_answer: Callable[[Listing | StoreFailure], None],
+        client: HttpClient,
+        builder: PageBuilder,
+        on_answer: Callable[[Listing | ConfigAnswer], None],
     ) -> None:
         def on_page(result: HttpResult) -> None:
             body = _parse_body(result)
@@ -107,15 +121,15 @@
             if is_last:
                 on_answer(builder.build())
             else:
-                self._request_page(builder, on_answer)
+                self._request_page(client, builder, on_answer)
 
-        target = f"/kv-range?prefix={UPSTREAM_PREFIX}"
+        target = f"/kv-range?prefix={builder.prefix}"
         if not builder.is_current:
             target += "&serializable=1"
         if builder.last_key:
-            target += f"&after={builder.last_key}"
+            target += f"&after={_quote(builder.last_key)}"
         timeout_s = self._settings.store_timeout_s
-        self._get(self._list_client, target, timeout_s, on_page)
+        self._get(client, target, timeout_s, on_page)
 
     def _get(
         self,
@@ -131,39 +145,16 @@
         return HttpClient(self._loop, self._address, max_body_bytes)
 
 
-class ListingBuilder:
-    """Assembles a listing from its pages.
+class ListingBuilder(PageBuilder):
+    """Assembles a listing from its pages."""
 
-    ``last_key`` is the last key so far, after which the next page begins, and ``epoch``
-    is that of its pages.
-    """
+    prefix = UPSTREAM_PREFIX
 
     def __init__(self, is_current: bool):
-        self.is_current = is_current
-        self.last_key = ""
-        self.epoch = NO_EPOCH
-        self._page_revisions: list[Revision] = []
+        super().__init__(is_current)
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._unreadable: set[UpstreamId] = set()
 
-    def add_page(self, body: dict, epoch: StoreEpoch = NO_EPOCH) -> bool:
-        """Add one page; return whether it is the last one."""
-        if self._page_revisions and epoch != self.epoch:
-            raise ValueError(f"page of epoch {epoch} after one of {self.epoch}")
-        self.epoch = epoch
-        self._page_revisions.append(Revision(int(body["store_revision"])))
-        items = body["items"]
-        if items and items[0]["key"] <= self.last_key:
-            raise ValueError(
-                f"page does not continue the last one: {items[0]['key']!r}"
-            )
-        for item in items:
-            self._add_item(item)
-        if not body["truncated"] or not items:
-            return True
-        self.last_key = items[-1]["key"]
-        return False
-
     def build(self) -> Listing:
         return Listing(
             page_revisions=tuple(self._page_revisions),
@@ -207,7 +198,7 @@
     if isinstance(body, StoreFailure):
         return body
     try:
-        return _decode_config_value(_position_of(result, body), body)
+        return decode_config_value(_position_of(result, body), body)
     except (ValueError, TypeError, LookupError) as error:
         return StoreFailure(StoreFailureReason.UNREADABLE, repr(error))
 
@@ -223,27 +214,32 @@
         return Revision(0)
 
 
-def _parse_watch_response(result: HttpResult) -> ConfigAnswer:
+def _parse_watch_response(
+    result: HttpResult,
+    answer_from: Callable[[StorePosition, list[dict]], ConfigAnswer],
+) -> ConfigAnswer:
+    """Return the answer that ``answer_from`` makes of the events of a watch."""
     if isinstance(result, HttpResponse) and result.status == 410:
         return HistoryExpired(StorePosition(epoch_of(result), NO_REVISION))
     body = _parse_body(result)
     if isinstance(body, StoreFailure):
         return body
     try:
-        position = _position_of(result, body)
-        writes = [
-            event
-            for event in body["events"]
-            if event["key"] == CONFIG_KEY and "tombstone" not in event
-        ]
-        if not writes:
-            return ConfigUnchanged(position)
-        newest = max(writes, key=lambda event: event["revision"])
-        return _decode_config_value(position, newest)
+        return answer_from(_position_of(result, body), body["events"])
     except (ValueError, TypeError, LookupError) as error:
         return StoreFailure(StoreFailureReason.UNREADABLE, repr(error))
 
 
+def _quote(key: str) -> str:
+    """Return a key in the form that a URL can hold."""
+    if _PLAIN_KEY.fullmatch(key):
+        return key
+    # Imported late, since only keys of other programs need it.
+    from urllib.parse import quote
+
+    return quote(key, errors="replace")
+
+
 def epoch_of(response: HttpResponse) -> StoreEpoch:
     """Return the epoch that a response names; ``NO_EPOCH`` if it names none."""
     text = response.headers.get(EPOCH_HEADER, "")
@@ -254,13 +250,3 @@
 def _position_of(response: HttpResponse, body: dict) -> StorePosition:
     revision = Revision(int(body["store_revision"]))
     return StorePosition(epoch_of(response), revision)
-
-
-def _decode_config_value(
-    position: StorePosition, item: dict
-) -> ConfigRead | ConfigInvalid:
-    try:
-        data = base64.b64decode(item["value"], validate=True)
-        return ConfigRead(position, decode_config(data))
-    except (StoredValueError, ValueError) as error:
-        return ConfigInvalid(position, str(error))
--- a/src/wisteriatiller/platform/storedvalues.py
+++ b/src/wisteriatiller/platform/storedvalues.py
@@ -21,6 +21,8 @@
 DEFAULT_IDLE_TIMEOUT_MS = 60_000
 # JSON implementations agree on integers up to 2**53.
 MAX_EXACT_INTEGER = 1 << 53
+# Names of zones are passed on in each message between hosts.
+MAX_ZONE_NAME_CHARS = 100
 # "safe" requests may be repeated, "unsafe" ones may run once at most.
 _REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -72,6 +74,17 @@
     )
 
 
+def decode_evacuated_zone(name: str) -> ZoneId:
+    """Return the zone of a name in a key; operators' tools may write any text.
+
+    Raises ``StoredValueError`` if it cannot be the name of a zone.
+    """
+    is_short = 0 < len(name) <= MAX_ZONE_NAME_CHARS
+    if not is_short or "/" in name or not name.isprintable():
+        raise StoredValueError(f"invalid zone name {name!a}")
+    return ZoneId(name)
+
+
 def decode_config(data: bytes) -> RouteConfig:
     """Decode the configuration.
 
--- a/src/wisteriatiller/steering/configwatcher.py
+++ b/src/wisteriatiller/steering/configwatcher.py
@@ -1,8 +1,9 @@
-"""Reads and watches the store to keep the configuration current."""
+"""Reads and watches the store to keep configuration and evacuations current."""
 
 from wisteriatiller.ids import NO_EPOCH, NO_POSITION, Address
 from wisteriatiller.network.loop import Scheduler
 
+from .evacuationupdates import EvacuationUpdater
 from .ports import (
     ConfigAnswer,
     ConfigInvalid,
@@ -33,9 +34,11 @@
         store: StoreReader,
         view: ConfigView,
         observer: StateObserver,
+        evacuations: EvacuationUpdater,
     ):
         super().__init__(settings, scheduler, store, observer)
         self._view = view
+        self._evacuations = evacuations
         # Up to where in the history of the store the view is known to be current.
         self._position = NO_POSITION
         # The newest epoch of any answer, and that of the position of the last watch.
@@ -86,7 +89,7 @@
     def _watch(self) -> None:
         """Watch for the rest of the time that the view may go unconfirmed."""
         self._called_at_s = self._scheduler.now_s()
-        age_s = self._view.age_s(self._called_at_s) or 0.0
+        age_s = self._unconfirmed_s()
         self._watch_wait_s = max(self._settings.watch_wait_s - age_s, MIN_WATCH_WAIT_S)
         self._watched_epoch = self._position.epoch
         self._store.watch_config(
@@ -95,6 +98,12 @@
             lambda answer: self._handle_answer("watch_config", answer),
         )
 
+    def _unconfirmed_s(self) -> float:
+        """The time since configuration and evacuations were both confirmed."""
+        views = (self._view, self._evacuations.view)
+        ages_s = (view.age_s(self._called_at_s) for view in views)
+        return max(age_s or 0.0 for age_s in ages_s)
+
     def _handle_answer(self, call: str, answer: ConfigAnswer) -> None:
         self._is_call_pending = False
         delay_s = 0.0
@@ -119,11 +128,19 @@
                 delay_s = self._settings.store_retry_s
             elif call == "read_config":
                 delay_s = FIRST_WATCH_DELAY_S
+            elif self._is_empty(answer) and waited_s < self._watch_wait_s:
+                delay_s = self._settings.store_retry_s
         if delay_s:
             self._scheduler.call_later(delay_s, self._call_store)
         else:
             self._call_store()
 
+    def _is_empty(self, answer: ConfigAnswer) -> bool:
+        """Whether only other keys have changed, which may go on at any rate."""
+        is_unchanged = isinstance(answer, ConfigUnchanged)
+        changes = answer.evacuations if is_unchanged else None
+        return changes is not None and not changes.changes
+
     def _confirmed_until_s(self, call: str, answer: ConfigAnswer) -> float:
         """The time up to which the answer is known to hold the newest configuration.
 
@@ -155,6 +172,9 @@
         self._position = answer.position
         unconfirmed_s = self._view.age_s(self._scheduler.now_s())
         self._view.confirm(confirmed_until_s)
+        self._evacuations.apply_answer(
+            answer.evacuations, answer.position, confirmed_until_s
+        )
         if isinstance(answer, ConfigInvalid):
             self._observer.config_invalid(answer)
         elif isinstance(answer, ConfigRead) and self._view.apply(answer.config):
--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from wisteriatiller.ids import NO_POSITION, ServiceId, UpstreamId
+from wisteriatiller.ids import NO_POSITION, ServiceId, UpstreamId, ZoneId
 
 from .upstreams import (
     NO_LISTING,
@@ -50,11 +50,14 @@
     ``is_withdrawn`` says that the upstream had begun to leave before the store was
     restored to a copy in which it is ready. ``has_left`` says that it drained, and that
     a healthy store then removed its entry; an entry that is missing for another reason
-    tells nothing about its upstream.
+    tells nothing about its upstream. ``evacuation_ended_at_s`` is when the last
+    evacuation of its zone ended while it was known; None if there was none, or while
+    one lasts.
     """
 
     __slots__ = (
         "changed_generation",
+        "evacuation_ended_at_s",
         "has_left",
         "is_withdrawn",
         "presence",
@@ -71,6 +74,7 @@
         self.presence_since_s = now_s
         self.is_withdrawn = False
         self.has_left = False
+        self.evacuation_ended_at_s: float | None = None
 
     def takes_new_flows(self) -> bool:
         is_present = self.presence in (Presence.LISTED, Presence.UNCERTAIN)
@@ -93,6 +97,9 @@
         self._entries: dict[UpstreamId, DirectoryEntry] = {}
         self._by_tag: dict[Tag, DirectoryEntry] = {}
         self._by_service: dict[ServiceId, list[DirectoryEntry]] = {}
+        self.evacuated_zones: frozenset[ZoneId] = frozenset()
+        # Services of which an evacuation keeps new flows from some upstream.
+        self._evacuated_services: set[ServiceId] = set()
         self._store_healthy_since_s: float | None = None
         # Each applied listing is a generation, kept by listing version. A delta can be
         # computed from a base whose generation is known and not older than the last
@@ -199,6 +206,24 @@
         """The entries of the service that may take new flows."""
         return self._by_service.get(service, [])
 
+    def set_evacuated_zones(self, zones: frozenset[ZoneId], now_s: float) -> None:
+        """Keep new flows from these zones from now on, and from no others."""
+        ended = self.evacuated_zones - zones
+        self.evacuated_zones = zones
+        for entry in self._entries.values():
+            if entry.upstream.zone in ended:
+                entry.evacuation_ended_at_s = now_s
+            elif entry.upstream.zone in zones:
+                entry.evacuation_ended_at_s = None
+        self._rebuild_indexes()
+
+    def is_evacuated(self, entry: DirectoryEntry) -> bool:
+        return entry.upstream.zone in self.evacuated_zones
+
+    def has_evacuated_upstreams(self, service: ServiceId) -> bool:
+        """Whether an evacuation keeps new flows of the service from any upstream."""
+        return service in self._evacuated_services
+
     def entries(self) -> Iterable[DirectoryEntry]:
         return self._entries.values()
 
@@ -310,12 +335,18 @@
     def _rebuild_indexes(self) -> None:
         self._by_tag = {}
         self._by_service = {}
+        self._evacuated_services = set()
         for _, entry in sorted(self._entries.items()):
             owner = self._by_tag.setdefault(entry.tag, entry)
             # Packets of flows with a colliding tag would go to the tag's owner, so that
             # another upstream with that tag gets no new flows.
-            if entry.takes_new_flows() and owner is entry:
-                self._by_service.setdefault(entry.upstream.service, []).append(entry)
+            if not entry.takes_new_flows() or owner is not entry:
+                continue
+            service = entry.upstream.service
+            if self.is_evacuated(entry):
+                self._evacuated_services.add(service)
+            else:
+                self._by_service.setdefault(service, []).append(entry)
 
 
 def _ids_by_presence(
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -13,6 +13,7 @@
 from .datapath import DataPath, bind_data_socket
 from .directory import UpstreamDirectory
 from .directorypoller import DirectoryPoller
+from .evacuationupdates import EvacuationUpdater
 from .evidence import ZoneEvidence
 from .peers import UNKNOWN_ZONE, Peer, PeerRegistry
 from .ports import PacketCodec, StoreReader
@@ -63,6 +64,13 @@
     def config_named(self, version, peer, is_deferred):
         self._reporter.config_named(version, peer, is_deferred)
 
+    def evacuations_applied(self, view, source, unconfirmed_s):
+        self._reporter.evacuations_applied(view, source, unconfirmed_s)
+        self._on_update()
+
+    def evacuation_keys_ignored(self, keys):
+        self._reporter.evacuation_keys_ignored(keys)
+
     def directory_applied(self, changes, source):
         self._steering.apply_directory_changes(changes)
         self._reporter.directory_applied(changes, source)
@@ -109,14 +117,18 @@
         )
         self.steering = FlowSteering(settings, self.directory, self.config, reporter)
         observer = _StateRelay(reporter, self.steering, self._check_ready)
-        config_watcher = ConfigWatcher(settings, loop, store, self.config, observer)
+        own_peer = Peer(settings.control_listen or settings.ready_listen, settings.zone)
+        self.registry = PeerRegistry(own_peer)
+        self._shared = SharedState(settings, self.config, self.directory, self.registry)
+        self.evacuations = self._shared.evacuations
+        updater = EvacuationUpdater(loop, self.evacuations, self.directory, observer)
+        config_watcher = ConfigWatcher(
+            settings, loop, store, self.config, observer, updater
+        )
         directory_poller = DirectoryPoller(
             settings, loop, store, self.directory, observer
         )
         reporter.on_unknown_tag = directory_poller.refresh_now
-        own_peer = Peer(settings.control_listen or settings.ready_listen, settings.zone)
-        self.registry = PeerRegistry(own_peer)
-        self._shared = SharedState(settings, self.config, self.directory, self.registry)
         self.sharing = ReadSharing(
             settings,
             loop,
@@ -131,6 +143,7 @@
                 reporter,
             ),
             (config_watcher, directory_poller),
+            updater,
             observer,
             reporter.source_changed,
         )
@@ -293,6 +306,8 @@
         gauge("flows", lambda: len(self.steering.flows))
         gauge("config_version", lambda: self.config.version)
         gauge("config_age_seconds", lambda: _age(self.config.age_s(now_s())))
+        if self.settings.has_evacuations:
+            gauge("evacuated_zones", lambda: len(self.evacuations.in_force))
         gauge("directory_epoch", lambda: self.directory.position.epoch)
         gauge("directory_revision", lambda: self.directory.position.revision)
         gauge("directory_age_seconds", lambda: _age(self.directory.age_s(now_s())))
--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -71,6 +71,8 @@
     UNKNOWN_TAG = "unknown_tag"
     ROUTE_UNCERTAIN = "route_uncertain"
     NO_STATE = "no_state"
+    # A repeated opening packet of a flow that may have opened in an evacuated zone.
+    ZONE_EVACUATED = "zone_evacuated"
 
 
 class Forward(NamedTuple):
--- a/src/wisteriatiller/steering/ports.py
+++ b/src/wisteriatiller/steering/ports.py
@@ -7,6 +7,7 @@
 
 from wisteriatiller.ids import Address, Revision, StorePosition
 
+from .evacuation import EvacuationAnswer
 from .packets import Packet
 from .routes import RouteConfig
 from .upstreams import Listing, Tag, Upstream
@@ -40,6 +41,7 @@
     """The store holds no configuration."""
 
     position: StorePosition
+    evacuations: EvacuationAnswer | None = None
 
 
 class ConfigInvalid(NamedTuple):
@@ -47,6 +49,7 @@
 
     position: StorePosition
     detail: str
+    evacuations: EvacuationAnswer | None = None
 
 
 class ConfigRead(NamedTuple):
@@ -54,12 +57,14 @@
 
     position: StorePosition
     config: RouteConfig
+    evacuations: EvacuationAnswer | None = None
 
 
 class ConfigUnchanged(NamedTuple):
     """The configuration has not changed up to this position."""
 
     position: StorePosition
+    evacuations: EvacuationAnswer | None = None
 
 
 ConfigAnswer = (
@@ -73,7 +78,11 @@
 
 
 class StoreReader(ABC):
-    """An asynchronous client of the store; calls each callback exactly once."""
+    """An asynchronous client of the store; calls each callback exactly once.
+
+    Where zones can be evacuated, answers about the configuration also hold the
+    evacuations: all of them in that of a read, their changes in that of a watch.
+    """
 
     @abstractmethod
     def read_config(self, on_answer: Callable[[ConfigAnswer], None]) -> None:
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -1,12 +1,22 @@
 """Writes log lines and counters for decisions and state changes."""
 
-from wisteriatiller.ids import NO_EPOCH, Address, StoreEpoch, UpstreamId
+from collections.abc import Iterable, Sequence
+
+from wisteriatiller.ids import NO_EPOCH, Address, StoreEpoch, UpstreamId, ZoneId
 from wisteriatiller.telemetry import Counters, EventLog
 
 from .directory import DirectoryEntry, UpstreamChange, UpstreamDirectory
+from .evacuation import EvacuationView
 from .evidence import Share, ShareObserver
 from .flowtable import Flow
-from .packets import Discard, LossEvidence, Packet, Refuse, format_flow
+from .packets import (
+    Discard,
+    LossEvidence,
+    Packet,
+    RefusalReason,
+    Refuse,
+    format_flow,
+)
 from .ports import ConfigInvalid, StoreFailure
 from .routes import ConfigVersion, ConfigView, Route
 from .sharing import Source
@@ -22,6 +32,8 @@
 MAX_CHANGE_LINES = 40
 # A store that answers with older listings may do so for many polls.
 REJECTION_LOG_INTERVAL_S = 5.0
+# Limits the lines about keys that name no zone; any program may write such keys.
+MAX_IGNORED_KEYS = 40
 
 
 class Reporter(SteeringObserver, StateObserver, ShareObserver):
@@ -43,6 +55,7 @@
         self._lost_calls: set[str] = set()
         self._store_epoch = NO_EPOCH
         self._rejection_logged_at_s = float("-inf")
+        self._ignored_keys: set[str] = set()
         self.on_unknown_tag = lambda: None
 
     def flow_placed(
@@ -86,6 +99,8 @@
         evidence = {}
         if refusal.evidence is not None:
             evidence = _evidence_fields(refusal.evidence)
+        elif refusal.reason is RefusalReason.ZONE_EVACUATED:
+            evidence = {"evacuated": _names(self._directory.evacuated_zones)}
         self._log_dropped_packet(
             "flow_refused", packet, refusal.reason.value, **evidence
         )
@@ -149,6 +164,28 @@
             config_version=self._view.version,
         )
 
+    def evacuations_applied(
+        self, view: EvacuationView, source: str, unconfirmed_s: float | None
+    ) -> None:
+        self._counters.count("evacuations_applied")
+        self._log.event(
+            "evacuations_applied",
+            zones=_names(view.in_force),
+            retained=_names(view.retained),
+            epoch=view.position.epoch,
+            revision=view.position.revision,
+            source=source,
+            unconfirmed_ms=_to_ms(unconfirmed_s),
+        )
+
+    def evacuation_keys_ignored(self, keys: Sequence[str]) -> None:
+        """Log each key once; the number of those that are remembered is limited."""
+        for key in keys:
+            is_logged = key in self._ignored_keys
+            if not is_logged and len(self._ignored_keys) < MAX_IGNORED_KEYS:
+                self._ignored_keys.add(key)
+                self._log.event("evacuation_key_ignored", key=ascii(key))
+
     def directory_applied(self, changes: list[UpstreamChange], source: str) -> None:
         for change in changes:
             self._counters.count("upstreams_changed", change.presence.value)
@@ -280,5 +317,9 @@
     }
 
 
+def _names(zones: Iterable[ZoneId]) -> str:
+    return ",".join(sorted(zones))
+
+
 def _to_ms(age_s: float | None) -> int | str:
     return "never" if age_s is None else round(1000.0 * age_s)
--- a/src/wisteriatiller/steering/settings.py
+++ b/src/wisteriatiller/steering/settings.py
@@ -49,11 +49,20 @@
     warmup_overage: float = 1.0
     warmup_slack_flows: float = 0.0
 
+    @property
+    def has_evacuations(self) -> bool:
+        return self.evacuation_bound_s is not None
+
+    @property
+    def watched_bound_s(self) -> float:
+        """Return the smallest bound of what one watch of the store returns."""
+        return min(self.config_bound_s, self.evacuation_bound_s or float("inf"))
+
     @property
     def watch_wait_s(self) -> float:
         """Return the long-poll timeout of a watch of the configuration.
 
         A watch whose answer is lost hides a change for this long, and the change must
-        still be read and passed on to other hosts within ``config_bound_s``.
+        still be read and passed on to other hosts within ``watched_bound_s``.
         """
-        return min(MAX_WATCH_WAIT_S, self.config_bound_s / 2)
+        return min(MAX_WATCH_WAIT_S, self.watched_bound_s / 2)
--- a/src/wisteriatiller/steering/sharedstate.py
+++ b/src/wisteriatiller/steering/sharedstate.py
@@ -3,6 +3,7 @@
 from wisteriatiller.ids import Address
 
 from .directory import UpstreamDirectory
+from .evacuation import EvacuationView
 from .evidence import HostReport, ZoneFindings
 from .peers import Peer, PeerRegistry
 from .routes import ConfigView, RouteConfig
@@ -22,7 +23,7 @@
 
 
 class SharedState:
-    """The configuration, the directory and the known hosts of this host."""
+    """The configuration, the evacuations, the directory and the known hosts."""
 
     def __init__(
         self,
@@ -32,31 +33,43 @@
         registry: PeerRegistry,
     ):
         self._settings = settings
+        self._has_evacuations = settings.has_evacuations
         self.view = view
         self.directory = directory
         self.registry = registry
+        self.evacuations = EvacuationView()
         # Deltas to the listing ``_deltas_target``, by base version. They are cached
         # because many hosts ask for the same one at once.
         self._deltas: dict[ListingVersion, ListingDelta] = {}
         self._deltas_target = directory.version
 
     def is_complete(self) -> bool:
-        """Whether this host has a configuration and a listing, of any age."""
-        return self.view.config is not None and self.directory.listing is not None
+        """Whether this host has all state that it needs, of any age."""
+        has_config = self.view.config is not None
+        has_evacuations = self.evacuations.is_known or not self._has_evacuations
+        return has_config and has_evacuations and self.directory.listing is not None
 
     def is_recent(self, now_s: float) -> bool:
         """Whether this host's state is as recent as reading or sharing keeps it."""
-        return self.are_recent(self.view.age_s(now_s), self.directory.age_s(now_s))
+        return self.are_recent(
+            self.view.age_s(now_s),
+            self.directory.age_s(now_s),
+            self.evacuations.age_s(now_s),
+        )
 
     def are_recent(
-        self, config_age_s: float | None, listing_age_s: float | None
+        self,
+        config_age_s: float | None,
+        listing_age_s: float | None,
+        evacuations_age_s: float | None,
     ) -> bool:
         """Whether the ages are those of a host that reads the store or has a reader.
 
         Older state comes from a host that was partitioned or suspended.
         """
-        is_config_recent = _is_within(config_age_s, self._settings.config_bound_s)
-        return is_config_recent and _is_within(listing_age_s, MAX_RECENT_LISTING_AGE_S)
+        return self._are_watched_within(
+            self._settings.watched_bound_s, config_age_s, evacuations_age_s
+        ) and _is_within(listing_age_s, MAX_RECENT_LISTING_AGE_S)
 
     def build_request(
         self, wants_peers: bool, wants_large_config: bool, report: HostReport = ()
@@ -109,19 +122,43 @@
             ),
             listing_age_s=listing_age_s,
             store_healthy_s=directory.store_healthy_s(now_s),
-            is_fresh=is_reading and self._are_fresh(config_age_s, listing_age_s),
+            is_fresh=is_reading
+            and self._are_fresh(
+                config_age_s, listing_age_s, self.evacuations.age_s(now_s)
+            ),
             has_lost_store=has_lost_store,
             reader=reader,
             peers=self._all_peers() if request.wants_peers else (),
             findings=findings,
+            evacuations=(
+                self.evacuations.state(now_s)
+                if self._has_evacuations and not request.wants_only_findings
+                else None
+            ),
         )
 
     def _are_fresh(
-        self, config_age_s: float | None, listing_age_s: float | None
+        self,
+        config_age_s: float | None,
+        listing_age_s: float | None,
+        evacuations_age_s: float | None,
     ) -> bool:
         watch_s = self._settings.watch_wait_s + self._settings.watch_slack_s
-        is_config_fresh = _is_within(config_age_s, watch_s + CONFIG_APPLY_SLACK_S)
-        return is_config_fresh and _is_within(listing_age_s, MAX_FRESH_LISTING_AGE_S)
+        return self._are_watched_within(
+            watch_s + CONFIG_APPLY_SLACK_S, config_age_s, evacuations_age_s
+        ) and _is_within(listing_age_s, MAX_FRESH_LISTING_AGE_S)
+
+    def _are_watched_within(
+        self,
+        limit_s: float,
+        config_age_s: float | None,
+        evacuations_age_s: float | None,
+    ) -> bool:
+        """Whether what the watch returns was confirmed within a time."""
+        is_config_within = _is_within(config_age_s, limit_s)
+        return is_config_within and (
+            not self._has_evacuations or _is_within(evacuations_age_s, limit_s)
+        )
 
     def _delta_since(self, version: ListingVersion) -> ListingDelta:
         if self._deltas_target != self.directory.version:
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -16,6 +16,7 @@
 
 from .configwatcher import ConfigWatcher
 from .directorypoller import DirectoryPoller
+from .evacuationupdates import EvacuationUpdater
 from .evidence import NO_FINDINGS, HostReport, ZoneEvidence
 from .peers import Peer, SnapshotClient
 from .settings import SteeringSettings
@@ -56,6 +57,7 @@
         state: SharedState,
         evidence: ZoneEvidence,
         pollers: tuple[ConfigWatcher, DirectoryPoller],
+        evacuations: EvacuationUpdater,
         observer: StateObserver,
         on_source_changed: Callable[[Source, str], None],
     ):
@@ -67,6 +69,7 @@
         self._evidence = evidence
         self._zone_exchange = ZoneExchange(scheduler, client, state, evidence)
         self._config_watcher, self._directory_poller = pollers
+        self._evacuations = evacuations
         self._directory_poller.on_listing_read = self._resume_config_watch
         self._observer = observer
         self._on_source_changed = on_source_changed
@@ -146,12 +149,15 @@
     def _is_recent(self, snapshot: Snapshot) -> bool:
         """Whether a snapshot is complete and recent enough to begin to serve."""
         has_all = snapshot.config is not None and snapshot.listing_delta is not None
+        evacuations = snapshot.evacuations
         return has_all and self._state.are_recent(
-            snapshot.config_age_s, snapshot.listing_age_s
+            snapshot.config_age_s,
+            snapshot.listing_age_s,
+            None if evacuations is None else evacuations.age_s,
         )
 
     def _end_startup_wait(self) -> None:
-        """Read the store, unless a peer has given a configuration and a listing."""
+        """Read the store, unless a peer has given all state."""
         if self._is_starting or not self._state.is_complete():
             self._is_starting = False
             self._read_store("no peer has sent a recent snapshot")
@@ -161,6 +167,7 @@
         if not self._state.is_complete():
             interval_s = STARTUP_SHARE_INTERVAL_S
         self._scheduler.call_later(interval_s, self._share_at_interval)
+        self._evacuations.expire_retained()
         if not self._is_request_pending:
             self._decline_reasons.clear()
             self._ask_reader_or_store()
@@ -317,6 +324,7 @@
         self, peer: Peer, snapshot: Snapshot, store_healthy_s: float | None
     ) -> None:
         self._add_peers(snapshot)
+        self._apply_evacuations(peer, snapshot)
         self._apply_config(peer, snapshot)
         self._apply_listing(peer, snapshot, store_healthy_s)
 
@@ -326,6 +334,13 @@
             self._scheduler.now_s(),
         )
 
+    def _apply_evacuations(self, peer: Peer, snapshot: Snapshot) -> None:
+        """Apply evacuations of any age, since their position says what is newer."""
+        if snapshot.evacuations is not None and self._settings.has_evacuations:
+            self._evacuations.apply_state(
+                snapshot.evacuations, peer.address, self._requested_at_s
+            )
+
     def _apply_config(self, peer: Peer, snapshot: Snapshot) -> None:
         view = self._state.view
         age_s = snapshot.config_age_s
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -1,4 +1,4 @@
-"""Messages between hosts: snapshots of configuration and listing, and their encoding.
+"""Messages between hosts: snapshots of the shared state, and their encoding.
 
 A request names the versions that the sender has, and the snapshot omits state that is
 not newer.
@@ -21,6 +21,7 @@
     ZoneId,
 )
 
+from .evacuation import EvacuationState
 from .evidence import (
     BUCKETS,
     NO_PROGRESS_MS,
@@ -41,7 +42,7 @@
 from .upstreams import ListingDelta, ListingVersion, Tag, Upstream, UpstreamState
 
 MAX_SNAPSHOT_BYTES = 8_000_000
-FORMAT_VERSION = 6
+FORMAT_VERSION = 7
 # Compressing smaller parts would save less than a packet.
 MIN_COMPRESSED_BYTES = 1_200
 COMPRESSION_LEVEL = 1
@@ -79,7 +80,8 @@
     ``has_lost_store`` that its calls to the store fail. ``reader`` is the host that
     reads the store for it. ``store_healthy_s`` is how long the store has been read
     without a failure. An age is None if there is no such state. ``findings`` holds what
-    the host's zone has found out of upstreams.
+    the host's zone has found out of upstreams. ``evacuations`` is None if the host
+    knows of none, or if zones are not evacuated in this deployment.
     """
 
     config_version: ConfigVersion
@@ -94,6 +96,7 @@
     reader: Address | None
     peers: tuple[tuple[Address, ZoneId], ...]
     findings: ZoneFindings
+    evacuations: EvacuationState | None
 
 
 def encode_request(request: SnapshotRequest) -> str:
@@ -183,6 +186,7 @@
             listing_delta=self._encode_part(snapshot.listing_delta, _encode_delta),
             peers=[[*address, zone] for address, zone in snapshot.peers],
             findings=_encode_findings(snapshot.findings),
+            evacuations=_encode_evacuations(snapshot.evacuations),
         )
         return msgpack.packb([FORMAT_VERSION, *fields], use_single_float=True)
 
@@ -263,6 +267,7 @@
             for ip, port, zone in raw.peers
         ),
         findings=_decode_findings(*raw.findings),
+        evacuations=_decode_evacuations(raw.evacuations),
     )
 
 
@@ -271,6 +276,35 @@
     return StorePosition(StoreEpoch(int(epoch)), Revision(int(revision)))
 
 
+def _encode_evacuations(state: EvacuationState | None) -> list | None:
+    if state is None:
+        return None
+    fields = state._replace(
+        zones=list(state.zones),
+        retained=list(state.retained),
+        removed=list(state.removed),
+    )
+    return list(fields)
+
+
+def _decode_evacuations(fields: list | None) -> EvacuationState | None:
+    if fields is None:
+        return None
+    position, zones, retained, removed, epoch_age_s, age_s = fields
+    return EvacuationState(
+        position=_decode_position(position),
+        zones=_decode_zones(zones),
+        retained=_decode_zones(retained),
+        removed=_decode_zones(removed),
+        epoch_age_s=max(0.0, float(epoch_age_s)),
+        age_s=max(0.0, float(age_s)),
+    )
+
+
+def _decode_zones(names: list) -> frozenset[ZoneId]:
+    return frozenset(ZoneId(str(name)) for name in names)
+
+
 def _encode_findings(findings: ZoneFindings) -> list:
     return [
         list(findings.shares.items()),
--- a/src/wisteriatiller/steering/status.py
+++ b/src/wisteriatiller/steering/status.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 from .directory import DirectoryEntry
+from .evacuation import EvacuationView
 from .steering import FlowSteering
 
 if TYPE_CHECKING:
@@ -28,6 +29,11 @@
             "age_s": host.directory.age_s(now_s),
             "steady_s": host.directory.store_healthy_s(now_s),
         },
+        "evacuated": (
+            _evacuation_status(host.evacuations, now_s)
+            if host.settings.has_evacuations
+            else None
+        ),
         "flows": len(host.steering.flows),
         "upstreams": [
             _upstream_status(entry, host.steering) for entry in host.directory.entries()
@@ -37,6 +43,22 @@
     }
 
 
+def _evacuation_status(view: EvacuationView, now_s: float) -> dict:
+    return {
+        "epoch": view.position.epoch,
+        "revision": view.position.revision,
+        "age_s": view.age_s(now_s),
+        "zones": [
+            {
+                "zone": zone,
+                "since_s": now_s - view.in_force_since_s(zone),
+                "is_retained": zone in view.retained,
+            }
+            for zone in sorted(view.in_force)
+        ],
+    }
+
+
 def _upstream_status(entry: DirectoryEntry, steering: FlowSteering) -> dict:
     upstream = entry.upstream
     return {
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -7,8 +7,9 @@
 
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Sequence
 
-from wisteriatiller.ids import UpstreamId
+from wisteriatiller.ids import ServiceId, UpstreamId
 
 from .directory import DirectoryEntry, Presence, UpstreamChange, UpstreamDirectory
 from .evidence import FindingsView, FlowLossDetector, OutlierDetector, UpstreamRecorder
@@ -190,6 +191,8 @@
         entry = self._directory.get(flow.upstream_id)
         if entry is None:
             return Discard(DiscardReason.NO_STATE)
+        if self._directory.is_evacuated(entry):
+            return Discard(DiscardReason.ZONE_EVACUATED)
         return Forward(entry.upstream, entry.tag)
 
     def _place_flow(
@@ -201,13 +204,14 @@
         """
         tried = () if flow is None else (*flow.tried, flow.upstream_id)
         selection = None
-        for service in self._config.ranked_services(route, packet.flow):
+        services = self._config.ranked_services(route, packet.flow)
+        for service in services:
             entries = self._directory.eligible_entries(service)
             selection = self.selector.select(entries, packet.flow, tried, now_s)
             if selection is not None:
                 break
         if selection is None:
-            return Refuse(RefusalReason.NO_UPSTREAM)
+            return self._reject_without_upstream(services, flow)
         upstream_id = selection.entry.upstream.upstream_id
         if flow is None:
             flow = self.flows.add(packet.flow, upstream_id, now_s)
@@ -228,6 +232,20 @@
         self._observer.flow_placed(packet, route, selection.entry, reason)
         return Forward(selection.entry.upstream, selection.entry.tag)
 
+    def _reject_without_upstream(
+        self, services: Sequence[ServiceId], flow: Flow | None
+    ) -> Decision:
+        """Refuse a flow, unless an earlier packet may have opened it elsewhere.
+
+        A reset would end such a flow, whose zone has been evacuated since.
+        """
+        if not any(map(self._directory.has_evacuated_upstreams, services)):
+            return Refuse(RefusalReason.NO_UPSTREAM)
+        entry = None if flow is None else self._directory.get(flow.upstream_id)
+        if entry is not None and self._directory.is_evacuated(entry):
+            return Discard(DiscardReason.ZONE_EVACUATED)
+        return Refuse(RefusalReason.ZONE_EVACUATED)
+
     def _reject_without_route(self, now_s: float) -> Decision:
         """Refuse a flow, unless an outdated configuration may lack its route."""
         age_s = self._config.age_s(now_s)
--- a/src/wisteriatiller/steering/storepolling.py
+++ b/src/wisteriatiller/steering/storepolling.py
@@ -2,11 +2,13 @@
 
 import random
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 
 from wisteriatiller.ids import Address, StoreEpoch
 from wisteriatiller.network.loop import Scheduler
 
 from .directory import UpstreamChange
+from .evacuation import EvacuationView
 from .ports import (
     ConfigInvalid,
     StoreFailure,
@@ -48,6 +50,19 @@
     @abstractmethod
     def config_invalid(self, answer: ConfigInvalid) -> None: ...
 
+    @abstractmethod
+    def evacuations_applied(
+        self, view: EvacuationView, source: str, unconfirmed_s: float | None
+    ) -> None:
+        """Record that other zones are evacuated than before, or the first set.
+
+        ``unconfirmed_s`` is as for ``config_applied``.
+        """
+
+    @abstractmethod
+    def evacuation_keys_ignored(self, keys: Sequence[str]) -> None:
+        """Record keys beside the evacuations that name no zone."""
+
     @abstractmethod
     def directory_applied(self, changes: list[UpstreamChange], source: str) -> None: ...
 
--- a/testbed/platformstandin.py
+++ b/testbed/platformstandin.py
@@ -41,6 +41,7 @@
     taken_at_s: float
     revision: int
     items: dict[str, tuple[bytes, int]]
+    events: int
 
 
 class StandInStore:
@@ -56,7 +57,9 @@
         self._revision = 1
         self._items: dict[str, tuple[bytes, int]] = {}
         self.epoch = 1
-        self._copies = [_Copy(time.monotonic(), self._revision, {})]
+        # Every write and removal, in order; a watch returns all that it has missed.
+        self._events: list[dict] = []
+        self._copies = [_Copy(time.monotonic(), self._revision, {}, 0)]
         self._loop = asyncio.new_event_loop()
         self._changed: asyncio.Event | None = None
         started = threading.Event()
@@ -111,9 +114,9 @@
             if not self.history_from <= after <= self._revision:
                 return None
             events = [
-                self.item(key)
-                for key, (_, revision) in self._items.items()
-                if key.startswith(prefix) and revision > after
+                event
+                for event in self._events
+                if event["key"].startswith(prefix) and event["revision"] > after
             ]
             rest_s = end_s - self._loop.time()
             if events or rest_s <= 0:
@@ -131,9 +134,19 @@
         self._revision += 1
         if data is None:
             self._items.pop(key, None)
+            event = {"key": key, "revision": self._revision, "tombstone": True}
         else:
             self._items[key] = (data, self._revision)
-        self._copies.append(_Copy(time.monotonic(), self._revision, dict(self._items)))
+            event = self.item(key)
+        self._events.append(event)
+        self._copies.append(
+            _Copy(
+                time.monotonic(),
+                self._revision,
+                dict(self._items),
+                len(self._events),
+            )
+        )
         self._wake_watches()
 
     def _restore(self, age_s: float) -> None:
@@ -142,6 +155,7 @@
             self._copies.pop()
         self._revision = self._copies[-1].revision
         self._items = dict(self._copies[-1].items)
+        del self._events[self._copies[-1].events :]
         self.epoch += 1
         self._wake_watches()
 
--- a/tests/fakestore.py
+++ b/tests/fakestore.py
@@ -4,8 +4,13 @@
 from typing import NamedTuple
 
 from tests.steeringharness import make_listing
-from wisteriatiller.ids import Revision, StoreEpoch, StorePosition
+from wisteriatiller.ids import Revision, StoreEpoch, StorePosition, ZoneId
 from wisteriatiller.steering import RouteConfig, Upstream
+from wisteriatiller.steering.evacuation import (
+    EvacuationChanges,
+    EvacuationSet,
+    ZoneChange,
+)
 from wisteriatiller.steering.ports import (
     ConfigMissing,
     ConfigRead,
@@ -36,6 +41,15 @@
     config_revision: int
     upstreams: tuple[Upstream, ...]
     config_puts: tuple[tuple[int, int], ...]
+    zone_events: tuple["ZoneEvent", ...]
+
+
+class ZoneEvent(NamedTuple):
+    """An evacuation that was written or removed, or an unrelated key without a zone."""
+
+    revision: int
+    zone: ZoneId | None
+    is_evacuated: bool
 
 
 class FakeStoreState:
@@ -71,6 +85,7 @@
         # with more routes than this.
         self.max_watch_routes = None
         self._config_puts = []
+        self.zone_events = []
 
     @property
     def position(self):
@@ -97,6 +112,24 @@
         self.config_revision = self.revision
         self._config_puts.append((self.revision, len(config.routes)))
 
+    def set_evacuated(self, zone, is_evacuated=True):
+        """Write or remove the evacuation of a zone at the next revision."""
+        self.revision += 1
+        self.zone_events.append(ZoneEvent(self.revision, ZoneId(zone), is_evacuated))
+
+    def put_unrelated_key(self):
+        """Write a key beside the evacuations that means nothing to hosts."""
+        self.revision += 1
+        self.zone_events.append(ZoneEvent(self.revision, None, False))
+
+    def evacuated_zones(self):
+        """The zones whose evacuation is written now."""
+        newest = {event.zone: event.is_evacuated for event in self.zone_events}
+        return frozenset(zone for zone, is_evacuated in newest.items() if is_evacuated)
+
+    def zone_events_after(self, revision):
+        return [event for event in self.zone_events if event.revision > revision]
+
     def put_upstreams(self, now_s, *upstreams):
         """Replace all upstream entries at the next revision."""
         self.revision += 1
@@ -112,6 +145,7 @@
             self.config_revision,
             self.upstreams,
             tuple(self._config_puts),
+            tuple(self.zone_events),
         )
 
     def restore(self, copy, now_s):
@@ -122,6 +156,7 @@
         self.config_revision = copy.config_revision
         self.upstreams = copy.upstreams
         self._config_puts = list(copy.config_puts)
+        self.zone_events = list(copy.zone_events)
         listing = make_listing(self.revision, *self.upstreams, epoch=self.epoch)
         self._listing_history.append((now_s, listing))
 
@@ -186,6 +221,7 @@
         self._state = state
         self._name = settings.host_id
         self._watch_slack_s = settings.watch_slack_s
+        self._has_evacuations = settings.has_evacuations
         self._config_connection = FakeConnection(
             scheduler, lambda: state.silent_hosts, lambda: state.config_silent_hosts
         )
@@ -195,7 +231,7 @@
         self._complete_call(
             self._config_connection,
             on_answer,
-            self._config_answer,
+            self._read_answer,
             self._config_transfer_s(),
         )
 
@@ -236,11 +272,15 @@
             answer = (
                 ANSWER_TOO_LARGE
                 if self._state.exceeds_watch_limit(after)
-                else self._config_answer()
+                else self._with_changes(self._config_answer(), after)
             )
             self._complete_later(on_answer, answer, self._config_transfer_s())
+        elif self._has_evacuations and self._state.zone_events_after(after):
+            answer = ConfigUnchanged(self._state.position)
+            self._complete_later(on_answer, self._with_changes(answer, after))
         elif now_s >= end_s:
-            on_answer(ConfigUnchanged(self._state.position))
+            answer = ConfigUnchanged(self._state.position)
+            on_answer(self._with_changes(answer, after))
         else:
             self._scheduler.call_later(
                 WATCH_POLL_INTERVAL_S, lambda: self._poll_watch(after, end_s, on_answer)
@@ -252,8 +292,26 @@
             ANSWER_DELAY_S + transfer_s, lambda: on_answer(answer)
         )
 
+    def _read_answer(self):
+        answer = self._config_answer()
+        if not self._has_evacuations:
+            return answer
+        zones = EvacuationSet(self._state.evacuated_zones())
+        return answer._replace(evacuations=zones)
+
+    def _with_changes(self, answer, after):
+        """Add the changes of evacuations to the answer of a watch, if it has them."""
+        if not self._has_evacuations:
+            return answer
+        changes = tuple(
+            ZoneChange(event.zone, event.is_evacuated)
+            for event in self._state.zone_events_after(after)
+            if event.zone is not None
+        )
+        return answer._replace(evacuations=EvacuationChanges(changes))
+
     def _config_answer(self):
-        """The answer of a read or a changed watch, from the current state."""
+        """The configuration of the current state, or that there is none."""
         if self._state.config is None:
             return ConfigMissing(self._state.position)
         return ConfigRead(self._state.position, self._state.config)
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -6,6 +6,7 @@
 from wisteriatiller.steering.configwatcher import ConfigWatcher
 from wisteriatiller.steering.directory import UpstreamDirectory
 from wisteriatiller.steering.directorypoller import DirectoryPoller
+from wisteriatiller.steering.evacuationupdates import EvacuationUpdater
 from wisteriatiller.steering.evidence import (
     FindingsView,
     ShareObserver,
@@ -37,6 +38,9 @@
         self.store_failures = 0
         self.invalid_configs = 0
         self.rejected_listings = 0
+        # The zones of each evacuation that came into force, with its time and source.
+        self.applied_evacuations = []
+        self.ignored_keys = []
 
     def config_applied(self, view, source, unconfirmed_s):
         self.applied_configs[view.version] = (self._scheduler.now_s(), source)
@@ -47,6 +51,13 @@
     def config_invalid(self, answer):
         self.invalid_configs += 1
 
+    def evacuations_applied(self, view, source, unconfirmed_s):
+        applied = (self._scheduler.now_s(), view.in_force, source)
+        self.applied_evacuations.append(applied)
+
+    def evacuation_keys_ignored(self, keys):
+        self.ignored_keys += keys
+
     def directory_applied(self, changes, source):
         pass
 
@@ -153,9 +164,12 @@
             self.state.registry.add(Peer(seed, ""), fleet.scheduler.now_s())
         self.store = FakeStore(self._process, fleet.store, settings)
         self.observer = RecordingStateObserver(fleet.scheduler)
+        updater = EvacuationUpdater(
+            self._process, self.state.evacuations, self.directory, self.observer
+        )
         poller_arguments = (self.settings, self._process, self.store)
         self.pollers = (
-            ConfigWatcher(*poller_arguments, self.view, self.observer),
+            ConfigWatcher(*poller_arguments, self.view, self.observer, updater),
             DirectoryPoller(*poller_arguments, self.directory, self.observer),
         )
         self.snapshot_encoder = SnapshotEncoder()
@@ -176,6 +190,7 @@
             self.state,
             self.evidence,
             self.pollers,
+            updater,
             self.observer,
             lambda source, reason: None,
         )
@@ -210,8 +225,9 @@
 class SimulatedFleet:
     """Hosts of several zones that share one fake store."""
 
-    def __init__(self, scheduler):
+    def __init__(self, scheduler, **settings_changes):
         self.scheduler = scheduler
+        self.settings_changes = settings_changes
         self.store = FakeStoreState()
         self.hosts = []
         self.hosts_by_address = {}
@@ -220,7 +236,9 @@
 
     def host_settings(self, number, zone, seeds=()):
         """The settings of host ``number``, which also determines its address."""
-        return steering_settings(zone, f"host-{number}", number, seeds=seeds)
+        return steering_settings(
+            zone, f"host-{number}", number, seeds=seeds, **self.settings_changes
+        )
 
     def add_host(self, zone, seeds=(), number=None):
         """Start a host and return it; by default it gets the next number."""
--- a/tests/steps/storerestore_steps.py
+++ b/tests/steps/storerestore_steps.py
@@ -8,6 +8,9 @@
 from tests.steeringfakes import RecordingStateObserver
 from wisteriatiller.ids import Revision, StoreEpoch, StorePosition
 from wisteriatiller.steering.configwatcher import ConfigWatcher
+from wisteriatiller.steering.directory import UpstreamDirectory
+from wisteriatiller.steering.evacuation import EvacuationView
+from wisteriatiller.steering.evacuationupdates import EvacuationUpdater
 from wisteriatiller.steering.ports import ConfigRead, ConfigUnchanged, StoreReader
 from wisteriatiller.steering.routes import ConfigView
 
@@ -98,12 +101,17 @@
     context.scheduler = VirtualScheduler()
     context.store = ManualStore()
     context.view = ConfigView()
+    observer = RecordingStateObserver(context.scheduler)
+    updater = EvacuationUpdater(
+        context.scheduler, EvacuationView(), UpstreamDirectory(), observer
+    )
     context.watcher = ConfigWatcher(
         steering_settings(),
         context.scheduler,
         context.store,
         context.view,
-        RecordingStateObserver(context.scheduler),
+        observer,
+        updater,
     )
     context.watcher.resume()
     context.first_read_at_s = context.scheduler.now_s()
