Test the evacuation of zones on virtual time

No test showed that an evacuation reaches every host in time, whatever happens to readers, the store and links.

ManualStore moves to a module of its own, so that two features can use it.

--- a/tests/sharingdays.py
+++ b/tests/sharingdays.py
@@ -5,11 +5,13 @@
     python -m tests.sharingdays --seeds 1-200
     python -m tests.sharingdays --seeds 17-17 --faults silent_connections,large
     python -m tests.sharingdays --seeds 1-200 --faults all,restore
+    python -m tests.sharingdays --seeds 1-200 --faults all,restore,evacuate
 
 Each seed runs a simulated fleet through one schedule. Hosts are killed and restarted,
 partitioned from the store and from each other, and refused by the store. Connections to
 the store stall for good, and the store is unavailable, slow or loses its history. On
-request (``--faults all,restore``) it also comes back from an older copy.
+request (``--faults all,restore``) it also comes back from an older copy. With
+``evacuate``, zones are evacuated and taken back, beside the faults.
 Configurations, some of them large, and upstream entries change throughout. A host that
 has been free of faults for SETTLE_S must know every version that is older than the
 bound, whichever host reads the store for it. Exit status 1 means that one did not.
@@ -22,6 +24,7 @@
 from typing import NamedTuple
 
 from testbed.steeringparts import VirtualScheduler, upstream
+from tests.evacuationdays import BOUND_S as EVACUATION_BOUND_S, EvacuationSchedule
 from tests.sharingfleet import single_route_config
 from tests.steeringfakes import SimulatedFleet
 from tests.steeringharness import config_with_routes
@@ -47,6 +50,7 @@
 MAX_REWRITE_DELAY_S = 1.0
 # Stands for all kinds of faults but a restore, so that known seeds stay what they are.
 ALL_BUT_RESTORE = "all"
+EVACUATE = "evacuate"
 
 
 class Put(NamedTuple):
@@ -64,7 +68,11 @@
         self._entry_rng = random.Random(f"entries of {seed}")
         random.seed(seed)
         self.scheduler = VirtualScheduler()
-        self.fleet = SimulatedFleet(self.scheduler)
+        fault_kinds = fault_kinds or [ALL_BUT_RESTORE]
+        settings = {}
+        if EVACUATE in fault_kinds:
+            settings["evacuation_bound_s"] = EVACUATION_BOUND_S
+        self.fleet = SimulatedFleet(self.scheduler, **settings)
         self._store = self.fleet.store
         self._store.max_watch_routes = MAX_WATCH_CONFIGS * LARGE_CONFIG_ROUTES
         self._config_puts = []
@@ -76,9 +84,15 @@
         self.violations = []
         self.injected_faults = []
         self._copies = []
-        self._fault_actions = self._choose_fault_actions(
-            fault_kinds or [ALL_BUT_RESTORE]
-        )
+        self._fault_actions = self._choose_fault_actions(fault_kinds)
+        self.evacuations = None
+        if EVACUATE in fault_kinds:
+            self.evacuations = EvacuationSchedule(
+                self.scheduler,
+                self._store,
+                random.Random(f"evacuations of {seed}"),
+                self._keep_copy,
+            )
         self._publish_config()
         self._publish_entry()
         seeds = tuple(
@@ -96,6 +110,8 @@
         self._publish_configs_repeatedly()
         self._publish_entries_repeatedly()
         self._inject_faults_repeatedly()
+        if self.evacuations is not None:
+            self.evacuations.change_repeatedly()
         while self.now_s < self._day_end_s:
             self.scheduler.run_for(CHECK_INTERVAL_S)
             self._check_staleness()
@@ -147,6 +163,9 @@
     def _put_config(self, config):
         self._store.put_config(config)
         self._newest_config = config
+        self._keep_copy()
+
+    def _keep_copy(self):
         self._copies.append((self.now_s, self._store.take_copy()))
 
     def _publish_entries_repeatedly(self):
@@ -168,7 +187,7 @@
         self._store.put_upstreams(
             self.now_s, upstream("1", slots=version), upstream("2", zone="b")
         )
-        self._copies.append((self.now_s, self._store.take_copy()))
+        self._keep_copy()
 
     def _inject_faults_repeatedly(self):
         """Inject a random fault now and schedule the next one."""
@@ -313,6 +332,8 @@
         """Write the newest configuration and entries to a restored store."""
         self._put_config(self._newest_config)
         self._put_entries(len(self._entry_puts))
+        if self.evacuations is not None:
+            self.evacuations.write_again()
         self._mark_store_unstable(0.0)
 
     def _slow_down_store(self):
@@ -374,6 +395,15 @@
             if not host.is_down and undisturbed_s >= SETTLE_S:
                 self._check_host(host, config_due, host.view.version)
                 self._check_host(host, entry_due, _entry_version(host))
+                self._check_evacuations(host, is_store_settled)
+
+    def _check_evacuations(self, host, is_store_settled):
+        if self.evacuations is None:
+            return
+        for state in self.evacuations.late_states(
+            host, self._store_unavailable_until_s, is_store_settled
+        ):
+            self._add_violation(host, state)
 
     def _newest_due(self, puts, extra_s):
         """The newest version that has to be known by now; None if there is none."""
@@ -381,8 +411,10 @@
         return next((put for put in reversed(puts) if put.at_s <= latest_s), None)
 
     def _check_host(self, host, due, version):
-        if due is None or version >= due.version:
-            return
+        if due is not None and version < due.version:
+            self._add_violation(host, due)
+
+    def _add_violation(self, host, due):
         key = (host.name, due)
         if key not in [violation[:2] for violation in self.violations]:
             late_s = self.now_s - due.at_s
--- a/tests/steps/storerestore_steps.py
+++ b/tests/steps/storerestore_steps.py
@@ -4,6 +4,7 @@
 
 from testbed.steeringparts import VirtualScheduler, steering_settings, upstream
 from tests.fakestore import TIMEOUT
+from tests.manualstore import ManualStore
 from tests.sharingfleet import single_route_config
 from tests.steeringfakes import RecordingStateObserver
 from wisteriatiller.ids import Revision, StoreEpoch, StorePosition
@@ -11,7 +12,7 @@
 from wisteriatiller.steering.directory import UpstreamDirectory
 from wisteriatiller.steering.evacuation import EvacuationView
 from wisteriatiller.steering.evacuationupdates import EvacuationUpdater
-from wisteriatiller.steering.ports import ConfigRead, ConfigUnchanged, StoreReader
+from wisteriatiller.steering.ports import ConfigRead, ConfigUnchanged
 from wisteriatiller.steering.routes import ConfigView
 
 
@@ -72,30 +73,6 @@
     assert not any(rejected.values()), rejected
 
 
-class ManualStore(StoreReader):
-    """Keeps the last call about the configuration until a step answers it."""
-
-    def __init__(self):
-        self.call = None
-        self._on_answer = None
-
-    def read_config(self, on_answer):
-        self.call, self._on_answer = "read", on_answer
-
-    def watch_config(self, after, wait_s, on_answer):
-        self.call, self._on_answer = "watch", on_answer
-
-    def list_upstreams(self, is_current, on_answer):
-        raise NotImplementedError
-
-    def set_address(self, address):
-        raise NotImplementedError
-
-    def answer(self, call, answer):
-        assert self.call == call, self.call
-        self._on_answer(answer)
-
-
 @given("a watcher whose calls are answered by hand")
 def given_watcher(context):
     context.scheduler = VirtualScheduler()
