--- a/testbed/hostfleet.py
+++ b/testbed/hostfleet.py
@@ -35,7 +35,12 @@
         self._misses = 0
         self._log_path = directory / f"{ip}.log"
         self._settings_path = directory / f"{ip}.conf"
-        self._settings = {"zone": zone, "node_name": f"host-{ip}", "seeds": seeds}
+        self._settings = {
+            "zone": zone,
+            "node_name": f"host-{ip}",
+            "seeds": seeds,
+            "bounds__evacuate_ms": "5000",
+        }
         self.write_settings()
         self._process: subprocess.Popen | None = None
 
--- a/tests/evacuation.feature
+++ b/tests/evacuation.feature
@@ -226,6 +226,18 @@
     Given a host that applies evacuations in 5 s and has a configuration and a listing
     Then that host is not complete
 
+  Scenario: A host with evacuations of unknown age is not followed
+    # Guards against a reader that counts as fresh by its configuration alone. Its bound
+    # of 3 s is the smaller one, and followers leave a reader after 2.2 s.
+    Given a host that applies evacuations in 5 s and reads a store with zone b evacuated
+    When 5 seconds of sharing pass
+    Then that host's snapshots are fresh
+    When its evacuations were last confirmed 2.5 seconds ago
+    Then that host's snapshots are not fresh
+    And its state is recent
+    When its evacuations were last confirmed 3.1 seconds ago
+    Then its state is not recent
+
   Scenario Outline: A set of another position replaces the view only if it is newer
     # Guards against late answers that bring back what was withdrawn.
     Given a view with zone b evacuated at epoch 2, revision 20
@@ -255,6 +267,14 @@
     When a snapshot of epoch 3 says that zone b was withdrawn after the restore
     Then the view has none
 
+  Scenario: A withdrawal after a restore counts although its snapshot is older
+    # Guards against a host that keeps retaining because it read the store later.
+    Given a view with zone b evacuated at epoch 2, revision 20
+    When a read of zones none arrives at epoch 3, revision 6
+    Then the view has b
+    When a snapshot of epoch 3 says that zone b was withdrawn after the restore
+    Then the view has none
+
   Scenario: A host that learns of a restore after 30 s retains nothing
     # Guards against hosts that pass a retention on to each other without end.
     Given a view with zone b evacuated at epoch 2, revision 20
--- a/tests/hostsoak.py
+++ b/tests/hostsoak.py
@@ -8,10 +8,10 @@
 Hosts are started, and paused, killed and stopped by signals. Their links to the store
 go through fault proxies that delay, reset and silence connections. The store refuses
 or garbles all calls or comes back from an older copy, upstreams drain, crash and hand
-their address to an upstream of another service, and the configuration changes. Clients
-send packets throughout, and each packet may go through any host. Exit status 1 means
-that a guarantee was violated: the line names it, and the logs are kept in the directory
-that is printed.
+their address to an upstream of another service, zones are evacuated and taken back, and
+the configuration changes. Clients send packets throughout, and each packet may go
+through any host. Exit status 1 means that a guarantee was violated: the line names it,
+and the logs are kept in the directory that is printed.
 """
 
 import argparse
@@ -45,6 +45,8 @@
 SETTLE_S = 4.0
 DRAIN_BOUND_S = 3.0
 CONFIG_BOUND_S = 3.0
+EVACUATION_BOUND_S = 5.0
+EVACUATION_KEY = "op/evacuate/zone-a"
 # An opening packet sent this long after a version was seen in use must not be steered
 # by an older one. Packets sent earlier may arrive in any order.
 ROLLBACK_SLACK_S = 0.25
@@ -81,6 +83,7 @@
         self._subnet = subnet
         self._store = StandInStore(f"{subnet}.5")
         self._version = 0
+        self._evacuated_at_s: float | None = None
         self._configs: list[tuple[float, str]] = []
         self._store_disturbed_at_s = float("-inf")
         # For each host process, identified by IP and lifetime: the index of the oldest
@@ -204,6 +207,18 @@
         self._store.put(CONFIG_KEY, self._config)
         self._configs.append((time.monotonic(), service))
 
+    def change_evacuation(self) -> None:
+        """Evacuate a zone, or take it back."""
+        is_evacuated = self._evacuated_at_s is not None
+        self._evacuated_at_s = None if is_evacuated else time.monotonic()
+        self._write_evacuation()
+
+    def _write_evacuation(self) -> None:
+        if self._evacuated_at_s is not None:
+            self._store.put(EVACUATION_KEY, {})
+        elif self._store.keys(EVACUATION_KEY):
+            self._store.remove(EVACUATION_KEY)
+
     def drain_upstream(self) -> None:
         """Drain an upstream, add a replacement, and end the drained one later."""
         upstream = self._choose_removable_upstream()
@@ -230,6 +245,7 @@
         *(kill_host, kill_host, stop_host, stop_host, pause_host, kill_all),
         *(reload_host, impair_link, impair_link, impair_link, impair_store),
         *(restore_store_from_copy, restore_store_from_copy),
+        *(change_evacuation, change_evacuation),
         *(stall_connections, stall_connections),
         *(
             switch_service,
@@ -253,6 +269,7 @@
         Sometimes one upstream cannot register again, though it serves.
         """
         self._store.put(CONFIG_KEY, self._config)
+        self._write_evacuation()
         alive = [upstream for upstream in self._upstreams if upstream.is_alive]
         if alive and self._rng.random() < UNLISTED_CHANCE:
             unlisted = alive.pop(self._rng.randrange(len(alive)))
@@ -320,6 +337,8 @@
     def _clear_faults(self) -> None:
         """Restore the store and all links, and resume paused hosts."""
         self._restore_store()
+        self._evacuated_at_s = None
+        self._write_evacuation()
         for host in self.fleet.hosts:
             host.send_signal(signal.SIGCONT)
             host.set_link(LinkMode.CLEAR)
@@ -381,6 +400,10 @@
                 self._add_finding(
                     "drain", f"{location}, {after_s:.1f} s after the drain"
                 )
+        if self._evacuated_at_s is not None and is_settled and upstream.number % 2 == 0:
+            after_s = now_s - self._evacuated_at_s
+            if after_s > EVACUATION_BOUND_S:
+                self._add_finding("evacuation", f"{location}, {after_s:.1f} s later")
         self._check_no_rollback(upstream.service, host, sent_at_s, location)
         if is_settled:
             self._check_config_bound(upstream.service, sent_at_s, location)
--- a/tests/steps/evacuation_steps.py
+++ b/tests/steps/evacuation_steps.py
@@ -75,6 +75,26 @@
     assert context.new_host.state.is_complete()
 
 
+@when("its evacuations were last confirmed {age_s:g} seconds ago")
+def when_confirmed(context, age_s):
+    (host,) = context.fleet.hosts
+    host.state.evacuations.confirmed_at_s = context.scheduler.now_s() - age_s
+
+
+@then("that host's snapshots are {state}")
+def then_snapshots_fresh(context, state):
+    (host,) = context.fleet.hosts
+    request = host.state.build_request(False, False)
+    assert host.sharing.build_snapshot(request).is_fresh == (state == "fresh")
+
+
+@then("its state is {state}")
+def then_state_recent(context, state):
+    (host,) = context.fleet.hosts
+    is_recent = host.state.is_recent(context.scheduler.now_s())
+    assert is_recent == (state == "recent"), is_recent
+
+
 # Changes and faults
 
 
