--- a/src/wisteriatiller/platform/operatorvalues.py
+++ b/src/wisteriatiller/platform/operatorvalues.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import re
 from collections.abc import Iterable
 
 from wisteriatiller.ids import StorePosition, ZoneId
@@ -30,6 +31,7 @@
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
+_PLAIN_KEY = re.compile(r"[\w./-]*", re.ASCII)
 
 
 class OperatorValuesBuilder(PageBuilder):
@@ -55,8 +57,16 @@
         answer = decode_config_value(position, self._config_item)
         return answer._replace(evacuations=evacuations)
 
+    def quoted_last_key(self) -> str:
+        if _PLAIN_KEY.fullmatch(self.last_key):
+            return self.last_key
+        # Imported late, since only keys of other programs need it.
+        from urllib.parse import quote
+
+        return quote(self.last_key, errors="replace")
+
     def _add_item(self, item: dict) -> None:
-        key = item["key"]
+        key = str(item["key"])
         if key == CONFIG_KEY:
             self._config_item = item
             return
@@ -73,7 +83,7 @@
     answer = config_answer_from_events(position, ordered)
     changes, ignored_keys = [], []
     for event in ordered:
-        key = event["key"]
+        key = str(event["key"])
         zone = _evacuated_zone(key)
         if zone is not None:
             changes.append(ZoneChange(zone, "tombstone" not in event))
--- a/src/wisteriatiller/platform/pages.py
+++ b/src/wisteriatiller/platform/pages.py
@@ -38,6 +38,10 @@
         self.last_key = items[-1]["key"]
         return False
 
+    def quoted_last_key(self) -> str:
+        """Return the last key as it stands in a URL."""
+        return self.last_key
+
     @abstractmethod
     def build(self) -> object:
         """Return what the pages hold, after the last one."""
--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -2,7 +2,6 @@
 
 import base64
 import json
-import re
 from collections.abc import Callable
 
 from wisteriatiller.ids import (
@@ -53,7 +52,6 @@
 # Limit of a response body as a multiple of the largest value; allows for base64, JSON
 # and pages of many values.
 BODY_SIZE_FACTOR = 4
-_PLAIN_KEY = re.compile(r"[\w./-]*", re.ASCII)
 
 
 class PlatformStore(StoreReader):
@@ -127,7 +125,7 @@
         if not builder.is_current:
             target += "&serializable=1"
         if builder.last_key:
-            target += f"&after={_quote(builder.last_key)}"
+            target += f"&after={builder.quoted_last_key()}"
         timeout_s = self._settings.store_timeout_s
         self._get(client, target, timeout_s, on_page)
 
@@ -230,16 +228,6 @@
         return StoreFailure(StoreFailureReason.UNREADABLE, repr(error))
 
 
-def _quote(key: str) -> str:
-    """Return a key in the form that a URL can hold."""
-    if _PLAIN_KEY.fullmatch(key):
-        return key
-    # Imported late, since only keys of other programs need it.
-    from urllib.parse import quote
-
-    return quote(key, errors="replace")
-
-
 def epoch_of(response: HttpResponse) -> StoreEpoch:
     """Return the epoch that a response names; ``NO_EPOCH`` if it names none."""
     text = response.headers.get(EPOCH_HEADER, "")
--- a/tests/hostsoak.py
+++ b/tests/hostsoak.py
@@ -46,6 +46,7 @@
 DRAIN_BOUND_S = 3.0
 CONFIG_BOUND_S = 3.0
 EVACUATION_BOUND_S = 5.0
+EVACUATION_PAUSE_S = (0.3, 12.0)
 EVACUATION_KEY = "op/evacuate/zone-a"
 # An opening packet sent this long after a version was seen in use must not be steered
 # by an older one. Packets sent earlier may arrive in any order.
@@ -84,6 +85,8 @@
         self._store = StandInStore(f"{subnet}.5")
         self._version = 0
         self._evacuated_at_s: float | None = None
+        # Its own, so that the faults of a seed stay what they are.
+        self._evacuation_rng = random.Random(f"evacuations of {seed}")
         self._configs: list[tuple[float, str]] = []
         self._store_disturbed_at_s = float("-inf")
         # For each host process, identified by IP and lifetime: the index of the oldest
@@ -115,6 +118,7 @@
         end_s = time.monotonic() + length_s
         faults_end_s = end_s - RECOVERY_S - RECOVERY_CHECK_S
         next_fault_s = time.monotonic() + 1.0
+        self._change_evacuation(faults_end_s)
         while time.monotonic() < faults_end_s:
             self._step()
             if time.monotonic() >= next_fault_s:
@@ -207,11 +211,16 @@
         self._store.put(CONFIG_KEY, self._config)
         self._configs.append((time.monotonic(), service))
 
-    def change_evacuation(self) -> None:
-        """Evacuate a zone, or take it back."""
-        is_evacuated = self._evacuated_at_s is not None
-        self._evacuated_at_s = None if is_evacuated else time.monotonic()
+    def _change_evacuation(self, until_s: float) -> None:
+        """Evacuate a zone or take it back, again and again until a time."""
+        now_s = time.monotonic()
+        is_over = now_s >= until_s
+        is_ending = is_over or self._evacuated_at_s is not None
+        self._evacuated_at_s = None if is_ending else now_s
         self._write_evacuation()
+        if not is_over:
+            pause_s = self._evacuation_rng.uniform(*EVACUATION_PAUSE_S)
+            self._schedule(pause_s, lambda: self._change_evacuation(until_s))
 
     def _write_evacuation(self) -> None:
         if self._evacuated_at_s is not None:
@@ -245,7 +254,6 @@
         *(kill_host, kill_host, stop_host, stop_host, pause_host, kill_all),
         *(reload_host, impair_link, impair_link, impair_link, impair_store),
         *(restore_store_from_copy, restore_store_from_copy),
-        *(change_evacuation, change_evacuation),
         *(stall_connections, stall_connections),
         *(
             switch_service,
