Check that a host logs its first set of evacuations

A copy of the program that keeps quiet about an empty first set passed all scenarios, and operators look for that line after a start.

--- a/tests/evacuatedflows.feature
+++ b/tests/evacuatedflows.feature
@@ -151,7 +151,8 @@
     # Guards against parts that work alone but not together.
     Given a stand-in store and a host process that applies evacuations
     When the host is ready
-    Then an opening packet is forwarded to the upstream with its number and a tag
+    Then the log has a line evacuations_applied zones=""
+    And an opening packet is forwarded to the upstream with its number and a tag
     When the zone of the upstream is evacuated
     Then the log has a line evacuations_applied zones=zone-a
     And an opening packet is refused
