Hold packets while the link of a host is full

Cause: when uploads coincide on a thin link, the send buffer of the data socket fills, and each further packet was dropped (EAGAIN). Clients repeat it after 200 ms and then double the interval.

Change: with uses_zone_findings, SendQueue holds up to 250,000 bytes in order, sends them when the socket is writable, and drops copies of what it still holds. Drops are counted by cause. Without uses_zone_findings sending is as before.

--- a/src/wisteriatiller/steering/datapath.py
+++ b/src/wisteriatiller/steering/datapath.py
@@ -8,6 +8,7 @@
 
 from .packets import Forward, Refuse
 from .ports import PacketCodec
+from .sendqueue import MAX_HELD_BYTES, SendQueue
 from .steering import FlowSteering
 
 MAX_DATAGRAM_BYTES = 65_535
@@ -45,6 +46,11 @@
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
         self.address = Address(*self._socket.getsockname())
+        is_holding = steering.settings.uses_zone_findings
+        self._queue = SendQueue(
+            data_socket, counters, MAX_HELD_BYTES if is_holding else 0
+        )
+        counters.register_gauge("held_bytes", lambda: self._queue.held_bytes)
         self._is_open = True
         self._is_suspended = True
 
@@ -52,12 +58,12 @@
         """Start or resume reading, beginning with the packets in the socket buffer."""
         if self._is_open:
             self._is_suspended = False
-            self._loop.watch(self._socket, self._on_readable)
+            self._watch()
 
     def suspend(self) -> None:
         """Leave packets in the socket buffer until ``start``."""
         self._is_suspended = True
-        self._loop.watch(self._socket, None)
+        self._watch()
 
     def close(self) -> None:
         """Steer the packets in the socket buffer, then close the socket."""
@@ -66,13 +72,29 @@
         for _ in range(MAX_BATCHES_AT_CLOSE):
             if not self._steer_batch():
                 break
+        self._queue.close()
         self._socket.close()
 
+    def _watch(self) -> None:
+        """Watch the socket for packets to read, and for room if packets are held."""
+        if not self._is_open:
+            return
+        self._loop.watch(
+            self._socket,
+            None if self._is_suspended else self._on_readable,
+            self._on_writable if self._queue.is_holding else None,
+        )
+
     def _on_readable(self) -> None:
         # The loop may have found the socket readable before reading was suspended.
         if not self._is_suspended:
             self._steer_batch()
 
+    def _on_writable(self) -> None:
+        self._queue.flush()
+        if not self._queue.is_holding:
+            self._watch()
+
     def _steer_batch(self) -> bool:
         """Steer one batch of packets; return whether more may be waiting."""
         started_s = self._loop.now_s()
@@ -108,8 +130,7 @@
             self._send(*self._codec.encode_reset(data))
 
     def _send(self, data: bytes, address: Address) -> None:
-        try:
-            self._socket.sendto(data, address)
-        except OSError as error:
-            # The client retransmits the packet.
-            self._counters.count("send_errors", type(error).__name__)
+        was_holding = self._queue.is_holding
+        self._queue.send(data, address)
+        if self._queue.is_holding and not was_holding:
+            self._watch()
