Refuse less urgent flows while all upstreams of a service are full

Cause: in a burst, full upstreams reject requests whoever sends them, so that urgent ones are rejected as often as any others.

Change: with uses_zone_findings, AdmissionPolicy decides at the opening packet by the rows of all hosts. It goes by requests in flight against slots, since rejections look like fast answers, and by the expected wait where queues are longer. Requests in flight at silent upstreams no longer count as load.

--- a/src/wisteriatiller/steering/evidence/zoneevidence.py
+++ b/src/wisteriatiller/steering/evidence/zoneevidence.py
@@ -108,9 +108,8 @@
         shares = {share.tag: share.fraction for share in lowered.values()}
         if not self._settings.uses_zone_findings:
             return ZoneFindings(shares)
-        return ZoneFindings(
-            shares, self._silent_in_other_zones(now_s), self._loads.rows(now_s)
-        )
+        silent = self._silent_in_other_zones(now_s)
+        return ZoneFindings(shares, silent, self._loads.rows(now_s, silent))
 
     def _silent_in_other_zones(self, now_s: float) -> frozenset[Tag]:
         recent = (
--- a/src/wisteriatiller/steering/evidence/zoneloads.py
+++ b/src/wisteriatiller/steering/evidence/zoneloads.py
@@ -1,12 +1,13 @@
 """Adds up the load that the hosts of a zone put on the upstreams of each service."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from wisteriatiller.ids import Address, ServiceId, ZoneId
 
 from ..directory import UpstreamDirectory
+from ..upstreams import Tag
 from .findings import MAX_LOAD_AGE_S, ServiceLoad
 from .reports import HostReport
 
@@ -45,16 +46,22 @@
         own = tuple(load for load in loads if load.reporting_zone == zone)
         self._foreign[zone] = (now_s, own)
 
-    def rows(self, now_s: float) -> tuple[ServiceLoad, ...]:
-        """All loads that are recent enough, each with its age."""
-        return (*self._own_rows(now_s), *self._foreign_rows(now_s))
+    def rows(
+        self, now_s: float, silent: Collection[Tag] = ()
+    ) -> tuple[ServiceLoad, ...]:
+        """All loads that are recent enough, each with its age.
 
-    def _own_rows(self, now_s: float) -> list[ServiceLoad]:
+        Requests in flight at ``silent`` upstreams wait in vain; they are no load.
+        """
+        return (*self._own_rows(now_s, silent), *self._foreign_rows(now_s))
+
+    def _own_rows(self, now_s: float, silent: Collection[Tag]) -> list[ServiceLoad]:
         self._drop_old(now_s)
         in_flight = _Sums()
         for received in self._latest.values():
             for row in received.report:
-                in_flight.add(self._key(row.tag), row.in_flight)
+                if row.tag not in silent:
+                    in_flight.add(self._key(row.tag), row.in_flight)
         answers, openings = _Sums(), _Sums()
         for received in self._window:
             for row in received.report:
--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import NamedTuple, NewType
 
-from wisteriatiller.ids import FlowKey, UpstreamId
+from wisteriatiller.ids import FlowKey, ServiceId, UpstreamId
 
 from .upstreams import Tag, Upstream
 
@@ -95,11 +95,30 @@
     silent_s: float
 
 
+class OverloadEvidence(NamedTuple):
+    """Why a flow is refused for overload, from what all hosts know of its service.
+
+    ``in_flight`` is the number of requests without an answer at ``slots`` slots,
+    ``expected_wait_s`` how long a new request would wait at least, if that is known,
+    ``probability`` the fraction of such flows that is refused, and ``age_s`` the age of
+    the oldest of these numbers.
+    """
+
+    service: ServiceId
+    route: str
+    priority: int
+    in_flight: int
+    slots: int
+    expected_wait_s: float | None
+    probability: float
+    age_s: float
+
+
 class Refuse(NamedTuple):
-    """Send a reset to the client; ``evidence`` says why a flow is lost."""
+    """Send a reset to the client; ``evidence`` says why a flow is lost or refused."""
 
     reason: RefusalReason
-    evidence: LossEvidence | None = None
+    evidence: LossEvidence | OverloadEvidence | None = None
 
 
 class Discard(NamedTuple):
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -6,7 +6,14 @@
 from .directory import DirectoryEntry, UpstreamChange, UpstreamDirectory
 from .evidence import Share, ShareObserver
 from .flowtable import Flow
-from .packets import Discard, LossEvidence, Packet, Refuse, format_flow
+from .packets import (
+    Discard,
+    LossEvidence,
+    OverloadEvidence,
+    Packet,
+    Refuse,
+    format_flow,
+)
 from .ports import ConfigInvalid, StoreFailure
 from .routes import ConfigVersion, ConfigView, Route
 from .sharing import Source
@@ -84,7 +91,11 @@
     def packet_refused(self, packet: Packet, refusal: Refuse) -> None:
         self._counters.count("packets_refused", refusal.reason.value)
         evidence = {}
-        if refusal.evidence is not None:
+        if isinstance(refusal.evidence, OverloadEvidence):
+            priority = f"priority_{refusal.evidence.priority}"
+            self._counters.count("overload_refusals", priority)
+            evidence = _overload_fields(refusal.evidence)
+        elif refusal.evidence is not None:
             evidence = _evidence_fields(refusal.evidence)
         self._log_dropped_packet(
             "flow_refused", packet, refusal.reason.value, **evidence
@@ -102,6 +113,13 @@
         self._counters.count("upstreams_trusted")
         self._log.event("upstream_trusted", upstream=upstream_id)
 
+    def admission_limited(self, evidence: OverloadEvidence) -> None:
+        self._counters.count("admission_limits")
+        self._log.event("admission_limited", **_overload_fields(evidence))
+
+    def admission_unlimited(self, evidence: OverloadEvidence) -> None:
+        self._log.event("admission_unlimited", **_overload_fields(evidence))
+
     def share_lowered(self, share: Share) -> None:
         self._counters.count("shares_lowered")
         self._log_share("upstream_share_lowered", share)
@@ -280,5 +298,19 @@
     }
 
 
+def _overload_fields(evidence: OverloadEvidence) -> dict[str, object]:
+    wait_s = evidence.expected_wait_s
+    return {
+        "service": evidence.service,
+        "route": evidence.route,
+        "priority": evidence.priority,
+        "in_flight": evidence.in_flight,
+        "slots": evidence.slots,
+        "expected_wait_ms": "unknown" if wait_s is None else _to_ms(wait_s),
+        "probability": round(evidence.probability, 3),
+        "loads_age_ms": _to_ms(evidence.age_s),
+    }
+
+
 def _to_ms(age_s: float | None) -> int | str:
     return "never" if age_s is None else round(1000.0 * age_s)
--- a/src/wisteriatiller/steering/selection/__init__.py
+++ b/src/wisteriatiller/steering/selection/__init__.py
@@ -1,10 +1,13 @@
 """Policies that select the upstream of a new flow."""
 
+from .admission import AdmissionObserver, AdmissionPolicy
 from .candidates import MAX_SAMPLED_ENTRIES, sample_candidates
 from .selector import LeastFlowsSelector, Selection, UpstreamSelector
 
 __all__ = [
     "MAX_SAMPLED_ENTRIES",
+    "AdmissionObserver",
+    "AdmissionPolicy",
     "LeastFlowsSelector",
     "Selection",
     "UpstreamSelector",
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -24,7 +24,12 @@
     Refuse,
 )
 from .routes import ConfigView, Route
-from .selection import LeastFlowsSelector, UpstreamSelector
+from .selection import (
+    AdmissionObserver,
+    AdmissionPolicy,
+    LeastFlowsSelector,
+    UpstreamSelector,
+)
 from .settings import SteeringSettings
 from .upstreams import NO_TAG
 
@@ -38,7 +43,7 @@
 REQUEST_TIMEOUT_S = 0.6
 
 
-class SteeringObserver(ABC):
+class SteeringObserver(AdmissionObserver, ABC):
     """Receives decisions and changes of upstream verdicts, for logs and counters."""
 
     @abstractmethod
@@ -97,6 +102,11 @@
         self.selector: UpstreamSelector = LeastFlowsSelector(
             settings, config, self.flows, self.outliers, self.findings
         )
+        self.admission: AdmissionPolicy | None = None
+        if settings.uses_zone_findings:
+            self.admission = AdmissionPolicy(
+                config, self.outliers, self.findings, observer
+            )
 
     def steer(self, packet: Packet, now_s: float) -> Decision:
         """Return the decision for one packet; update flow state and upstream health."""
@@ -201,11 +211,20 @@
         """
         tried = () if flow is None else (*flow.tried, flow.upstream_id)
         selection = None
+        overload = None
         for service in self._config.ranked_services(route, packet.flow):
             entries = self._directory.eligible_entries(service)
+            # What has been forwarded before is never refused for overload.
+            if flow is None and self.admission is not None:
+                found = self.admission.overload_of(packet, route, entries, now_s)
+                overload = found or overload
+                if found is not None:
+                    continue
             selection = self.selector.select(entries, packet.flow, tried, now_s)
             if selection is not None:
                 break
+        if selection is None and overload is not None:
+            return self.admission.refuse(packet, overload, now_s)
         if selection is None:
             return Refuse(RefusalReason.NO_UPSTREAM)
         upstream_id = selection.entry.upstream.upstream_id
