--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -3,8 +3,6 @@
 It runs as a script, since ``python -m`` would load modules that then stay out.
 """
 
-import sys
+from wisteriatiller.platform.modulebundle import bundle_path, write_bundle
 
-from wisteriatiller.platform.modulebundle import write_bundle
-
-print(f"modules={write_bundle(sys.argv[1])}")
+print(f"modules={write_bundle(bundle_path())}")
--- a/deploy/host.py
+++ b/deploy/host.py
@@ -2,9 +2,9 @@
 
 import sys
 
-from wisteriatiller.platform.modulebundle import install_bundle
+from wisteriatiller.platform.modulebundle import bundle_path, install_bundle
 
-install_bundle("target/deps/modules.bundle")
+install_bundle(bundle_path())
 
 from wisteriatiller.platform.__main__ import main  # noqa: E402 (uses the bundle)
 
--- a/src/wisteriatiller/platform/modulebundle.py
+++ b/src/wisteriatiller/platform/modulebundle.py
@@ -4,7 +4,7 @@
 files with a dozen calls each. The build collects their code in a bundle, so that a host
 on a small machine starts in a fraction of the time::
 
-    python3 -S deploy/bundle.py target/deps/modules.bundle
+    PYTHONPATH=target/deps python3 -S deploy/bundle.py
 
 This module is imported before all others, so it imports nothing but built-in modules.
 """
@@ -15,6 +15,7 @@
 
 # Modules that a host imports only while it runs, shortly after its start.
 LATE_MODULES = ("msgpack", "zlib", "random")
+BUNDLE_NAME = "modules.bundle"
 _ENTRY_MODULE = "wisteriatiller.platform.process"
 
 
@@ -48,6 +49,16 @@
         exec(marshal.loads(code), module.__dict__)
 
 
+def bundle_path() -> str:
+    """Return the path of the bundle that belongs to the installed package.
+
+    It lies beside the package, so that sources elsewhere never meet a bundle of others.
+    """
+    import wisteriatiller
+
+    return f"{wisteriatiller.__path__[0]}/../{BUNDLE_NAME}"
+
+
 def install_bundle(path: str) -> bool:
     """Import from a bundle from now on; return False if there is none to use.
 
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -12,6 +12,7 @@
 from .packets import (
     Discard,
     LossEvidence,
+    OverloadEvidence,
     Packet,
     RefusalReason,
     Refuse,
@@ -97,7 +98,11 @@
     def packet_refused(self, packet: Packet, refusal: Refuse) -> None:
         self._counters.count("packets_refused", refusal.reason.value)
         evidence = {}
-        if refusal.evidence is not None:
+        if isinstance(refusal.evidence, OverloadEvidence):
+            priority = f"priority_{refusal.evidence.priority}"
+            self._counters.count("overload_refusals", priority)
+            evidence = _overload_fields(refusal.evidence)
+        elif refusal.evidence is not None:
             evidence = _evidence_fields(refusal.evidence)
         elif refusal.reason is RefusalReason.ZONE_EVACUATED:
             evidence = {"evacuated": _names(self._directory.evacuated_zones)}
@@ -117,6 +122,13 @@
         self._counters.count("upstreams_trusted")
         self._log.event("upstream_trusted", upstream=upstream_id)
 
+    def admission_limited(self, evidence: OverloadEvidence) -> None:
+        self._counters.count("admission_limits")
+        self._log.event("admission_limited", **_overload_fields(evidence))
+
+    def admission_unlimited(self, evidence: OverloadEvidence) -> None:
+        self._log.event("admission_unlimited", **_overload_fields(evidence))
+
     def share_lowered(self, share: Share) -> None:
         self._counters.count("shares_lowered")
         self._log_share("upstream_share_lowered", share)
@@ -321,5 +333,19 @@
     return ",".join(sorted(zones))
 
 
+def _overload_fields(evidence: OverloadEvidence) -> dict[str, object]:
+    wait_s = evidence.expected_wait_s
+    return {
+        "service": evidence.service,
+        "route": evidence.route,
+        "priority": evidence.priority,
+        "in_flight": evidence.in_flight,
+        "slots": evidence.slots,
+        "expected_wait_ms": "unknown" if wait_s is None else _to_ms(wait_s),
+        "probability": round(evidence.probability, 3),
+        "loads_age_ms": _to_ms(evidence.age_s),
+    }
+
+
 def _to_ms(age_s: float | None) -> int | str:
     return "never" if age_s is None else round(1000.0 * age_s)
--- a/tests/modulebundle.feature
+++ b/tests/modulebundle.feature
@@ -25,3 +25,9 @@
       | is truncated                   |
       | is of another interpreter      |
       | holds something else           |
+
+  Scenario: Sources that are not installed use no bundle of an installed package
+    # Guards against a host that runs the code of an earlier build.
+    Given a bundle beside an installed copy of the package
+    When a process starts from the sources
+    Then its bundle is another one, and it is missing
--- a/tests/steps/modulebundle_steps.py
+++ b/tests/steps/modulebundle_steps.py
@@ -106,3 +106,29 @@
 def then_ignored(context):
     assert context.usage == "not used", context.usage
     assert "wisteriatiller.steering.host" in context.files.split(), context.files
+
+
+@given("a bundle beside an installed copy of the package")
+def given_installed(context):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.bundle = Path(directory.name) / "target" / "deps" / "modules.bundle"
+    context.bundle.parent.mkdir(parents=True)
+    context.bundle.write_bytes(b"")
+
+
+@when("a process starts from the sources")
+def when_starts_from_sources(context):
+    code = (
+        "from wisteriatiller.platform.modulebundle import bundle_path\n"
+        "print(bundle_path())\n"
+    )
+    context.result = run_python(code)
+    assert context.result.returncode == 0, context.result.stderr
+
+
+@then("its bundle is another one, and it is missing")
+def then_other_bundle(context):
+    path = Path(context.result.stdout.strip())
+    assert path.resolve() != context.bundle.resolve()
+    assert not path.exists(), path
