Let new flows overflow between zones by the loads that zones exchange

Cause: a zone to which most clients move rejects requests while two other zones have room. The burst switch counts the flows of one host and does not see it in a large zone.

Change, only with uses_zone_findings: ZoneSpill keeps the flows of a zone's clients up to half of its slots, or up to the mean of all zones, and sends the rest to zones below that level. The load that counts is that of a zone's clients wherever their requests are in flight, so that the overflow does not change what it is computed from. It is smoothed over 2 s, and over 0.5 s if it changes beyond chance. A zone of which no load is known, or of whose slots the host suspects more than half, gets no overflow; the flows of a zone without upstreams are spread by room. A reader reports a load of 0 for its own zone too, so that an idle zone differs from one that is cut off.

UpstreamWeights lowers the shares of at most a third of the upstreams of a service in the zone that hold significantly more requests per slot than the mean. Shares of findings are relative to the upstreams of the zone, and raised for the draw by hash: before that, a share of 0.95 cost a third of the flows of its upstream.

--- a/src/wisteriatiller/steering/evidence/__init__.py
+++ b/src/wisteriatiller/steering/evidence/__init__.py
@@ -18,6 +18,7 @@
     UpstreamReport,
 )
 from .slowupstreams import Share, SlowUpstreamDetector
+from .upstreamweights import UpstreamWeights
 from .zoneevidence import ShareObserver, ZoneEvidence
 from .zoneloads import ZoneLoads
 
@@ -39,6 +40,7 @@
     "UpstreamHealth",
     "UpstreamRecorder",
     "UpstreamReport",
+    "UpstreamWeights",
     "ZoneEvidence",
     "ZoneFindings",
     "ZoneLoads",
--- a/src/wisteriatiller/steering/evidence/zoneevidence.py
+++ b/src/wisteriatiller/steering/evidence/zoneevidence.py
@@ -11,6 +11,7 @@
 from .findings import FINDINGS_TTL_S, FindingsView, ZoneFindings
 from .reports import HostReport, UpstreamRecorder
 from .slowupstreams import Share, SlowUpstreamDetector
+from .upstreamweights import UpstreamWeights
 from .zoneloads import ZoneLoads
 
 # Reports arrive several times a second, and the findings need not change that often.
@@ -51,6 +52,7 @@
         self._observer = observer
         self._slow = SlowUpstreamDetector(directory)
         self._loads = ZoneLoads(settings.zone, directory)
+        self._weights = UpstreamWeights(settings.zone, directory)
         self._lowered: Mapping[Tag, Share] = {}
         self._computed = ZoneFindings()
         self._computed_at_s = float("-inf")
@@ -68,6 +70,7 @@
         self._slow.add_report(host, report, now_s)
         if self._settings.uses_zone_findings:
             self._loads.add_report(host, report, now_s)
+            self._weights.add_report(host, report, now_s)
 
     def set_foreign_findings(
         self, zone: ZoneId, findings: ZoneFindings, now_s: float
@@ -108,6 +111,7 @@
         shares = {share.tag: share.fraction for share in lowered.values()}
         if not self._settings.uses_zone_findings:
             return ZoneFindings(shares)
+        _lower_shares(shares, self._weights.shares(now_s))
         return ZoneFindings(
             shares, self._silent_in_other_zones(now_s), self._loads.rows(now_s)
         )
@@ -131,3 +135,9 @@
         for tag, share in self._lowered.items():
             if tag not in lowered:
                 self._observer.share_restored(share)
+
+
+def _lower_shares(shares: dict[Tag, float], others: Mapping[Tag, float]) -> None:
+    """Lower shares to those of another reason; the lowest applies."""
+    for tag, fraction in others.items():
+        shares[tag] = min(fraction, shares.get(tag, 1.0))
--- a/src/wisteriatiller/steering/evidence/zoneloads.py
+++ b/src/wisteriatiller/steering/evidence/zoneloads.py
@@ -62,6 +62,8 @@
                 answers.add(self._key(row.tag), sum(row.counts[:-1]))
                 openings.add(self._key(row.tag), row.openings)
         keys = in_flight.keys() | answers.keys() | openings.keys()
+        # A zone without load tells so; one that tells nothing may be cut off.
+        keys |= self._keys_of_own_zone()
         return [
             ServiceLoad(
                 reporting_zone=self._zone,
@@ -82,6 +84,14 @@
             if load.age_s + now_s - received_at_s <= MAX_LOAD_AGE_S
         ]
 
+    def _keys_of_own_zone(self) -> set[_LoadKey]:
+        upstreams = (entry.upstream for entry in self._directory.entries())
+        return {
+            (upstream.service, upstream.zone)
+            for upstream in upstreams
+            if upstream.zone == self._zone
+        }
+
     def _key(self, tag) -> _LoadKey | None:
         entry = self._directory.by_tag(tag)
         return None if entry is None else (entry.upstream.service, entry.upstream.zone)
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -296,6 +296,7 @@
         gauge("directory_epoch", lambda: self.directory.position.epoch)
         gauge("directory_revision", lambda: self.directory.position.revision)
         gauge("directory_age_seconds", lambda: _age(self.directory.age_s(now_s())))
+        gauge("zone_utilization", lambda: self.steering.selector.zone_utilization())
         gauge("log_lines_left_out", lambda: self._log.dropped_lines_total)
 
 
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -49,6 +49,8 @@
         self, packet: Packet, route: Route, entry: DirectoryEntry, reason: str
     ) -> None:
         self._counters.count("flows_placed", reason)
+        if reason == "overflow":
+            self._counters.count("flows_overflowed", entry.upstream.zone)
         self._log.flow_event(
             "flow_placed",
             flow=format_flow(packet.flow),
--- a/src/wisteriatiller/steering/selection/selector.py
+++ b/src/wisteriatiller/steering/selection/selector.py
@@ -18,20 +18,28 @@
 from ..routes import ConfigView
 from ..settings import SteeringSettings
 from .bursts import BurstDetector
-from .candidates import EntriesByZone, hash_fraction, sample_candidates
+from .candidates import (
+    EntriesByZone,
+    ServiceEntries,
+    hash_fraction,
+    sample_candidates,
+)
 from .slowstart import SlowStart
 from .trials import TrialPolicy
+from .zonespill import ZoneSpill
 
 
 class Selection(NamedTuple):
     """The selected entry, and the number of entries that were compared.
 
-    ``is_trial`` marks a suspect that is tried with this flow.
+    ``is_trial`` marks a suspect that is tried with this flow, ``is_overflow`` a flow
+    that leaves its zone because of the loads of the zones.
     """
 
     entry: DirectoryEntry
     candidate_count: int
     is_trial: bool
+    is_overflow: bool = False
 
 
 class UpstreamSelector(ABC):
@@ -51,12 +59,17 @@
         selected only if there are no others.
         """
 
+    def zone_utilization(self) -> float:
+        """The highest utilization of the own zone by its clients, of all services."""
+        return 0.0
+
 
 class LeastFlowsSelector(UpstreamSelector):
     """Selects the least loaded entry of a service.
 
     New flows stay in the host's zone, where a network partition between zones cannot
-    break them, except during a burst that exceeds the capacity of the zone.
+    break them, except during a burst that exceeds the capacity of the zone, and for
+    what ``ZoneSpill`` sends to other zones.
     """
 
     def __init__(
@@ -75,7 +88,10 @@
         self._entries = EntriesByZone(settings.zone)
         self._bursts = BurstDetector()
         self._trials = TrialPolicy(settings.zone, outliers)
-        self._slow_start = SlowStart(outliers, findings)
+        self._slow_start = SlowStart(settings, outliers, findings)
+        self.spill: ZoneSpill | None = None
+        if settings.uses_zone_findings:
+            self.spill = ZoneSpill(settings.zone, outliers, findings)
 
     def select(
         self,
@@ -89,25 +105,62 @@
         if not entries:
             return None
         service_entries = self._entries.split(entries)
-        sampled = [
-            *sample_candidates(service_entries.local, flow),
-            *sample_candidates(service_entries.remote, flow),
-        ]
-        untried = [
-            entry for entry in sampled if entry.upstream.upstream_id not in excluded
-        ]
-        pool = untried or sampled
         is_burst = self._bursts.count_and_detect(service_entries, now_s)
+        overflow = self._overflow_pool(service_entries, flow, excluded, now_s)
+        pool = overflow or _untried_sample(service_entries, flow, excluded)
         trial = self._trials.pick(pool, excluded, is_burst, now_s)
         if trial is not None:
-            return Selection(trial, len(pool), True)
+            return Selection(trial, len(pool), True, bool(overflow))
         trusted = [entry for entry in pool if self._is_trusted(entry)] or pool
-        trusted = self._slow_start.filter(trusted, flow, now_s) or trusted
+        even_count = self._even_count(trusted, is_burst)
+        trusted = self._slow_start.filter(trusted, flow, now_s, even_count) or trusted
         remote_weight = 1.0 if is_burst else self._remote_weight
         best = min(
             trusted, key=lambda entry: self._sort_key(entry, flow, remote_weight)
         )
-        return Selection(best, len(trusted), False)
+        return Selection(best, len(trusted), False, bool(overflow))
+
+    def zone_utilization(self) -> float:
+        if self.spill is None:
+            return 0.0
+        return max(self.spill.utilization_by_service().values(), default=0.0)
+
+    def _overflow_pool(
+        self,
+        service_entries: ServiceEntries,
+        flow: FlowKey,
+        excluded: Collection[UpstreamId],
+        now_s: float,
+    ) -> list[DirectoryEntry]:
+        """The entries of the zone that a flow overflows to; empty if it does not.
+
+        A flow that an upstream has delayed stays: the path to that zone may be cut.
+        """
+        if self.spill is None or (excluded and service_entries.local):
+            return []
+        zone = self.spill.choose_zone(service_entries, flow, now_s)
+        if zone is None:
+            return []
+        sampled = sample_candidates(service_entries.by_zone[zone], flow)
+        return [
+            entry
+            for entry in sampled
+            if entry.upstream.upstream_id not in excluded
+            and (self._is_trusted(entry) or self._is_trial_due(entry, now_s))
+        ]
+
+    def _even_count(self, pool: Sequence[DirectoryEntry], is_burst: bool) -> int | None:
+        """The number of entries that flows are spread over; None for the whole pool.
+
+        While flows stay in the zone, an even share is that of the zone's upstreams.
+        """
+        if self.spill is None or is_burst:
+            return None
+        return sum(entry.upstream.zone == self._zone for entry in pool) or None
+
+    def _is_trial_due(self, entry: DirectoryEntry, now_s: float) -> bool:
+        health = self._outliers.health_of(entry.upstream.upstream_id)
+        return health.is_trial_due(now_s)
 
     def _is_trusted(self, entry: DirectoryEntry) -> bool:
         health = self._outliers.health_of(entry.upstream.upstream_id)
@@ -125,3 +178,15 @@
             weight *= remote_weight
         flows = self._flows.open_flow_count(upstream.upstream_id)
         return (flows + 1) / weight, hash_fraction(entry, flow)
+
+
+def _untried_sample(
+    service_entries: ServiceEntries, flow: FlowKey, excluded: Collection[UpstreamId]
+) -> list[DirectoryEntry]:
+    """Sample all zones, and use what the flow has tried only if there is no other."""
+    sampled = [
+        *sample_candidates(service_entries.local, flow),
+        *sample_candidates(service_entries.remote, flow),
+    ]
+    untried = [entry for entry in sampled if entry.upstream.upstream_id not in excluded]
+    return untried or sampled
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -223,6 +223,8 @@
             if selection.is_trial
             else "copy"
             if packet.retransmit_count
+            else "overflow"
+            if selection.is_overflow
             else "first"
         )
         self._observer.flow_placed(packet, route, selection.entry, reason)
--- a/testbed/flowworld.py
+++ b/testbed/flowworld.py
@@ -43,9 +43,10 @@
 MAX_RETRIES = 2
 REQUEST_BYTES = 100
 RESPONSE_BYTES = 2000
-# An upstream queues as many requests as it works on, and rejects what comes then.
-QUEUE_PER_SLOT = 2
 SAMPLE_INTERVAL_S = 0.25
+ZONE_NAMES = "abcdefgh"
+# Added to the number of a zone, the second byte of the addresses of its clients.
+FIRST_CLIENT_BYTE = 64
 
 SteeringMaker = Callable[[FlowSteering], UpstreamSelector]
 
@@ -64,6 +65,10 @@
     aim_s: float = 0.2
     deadline_s: float = 1.2
     late_worth: float = 0.3
+    # Requests that an upstream queues for each slot; it rejects what comes then.
+    queue_per_slot: int = 2
+    # Speeds of upstreams, taken in turns within each zone.
+    speeds: tuple[float, ...] = (1.0,)
 
 
 class FlowResult(NamedTuple):
@@ -108,14 +113,24 @@
 class WorkingUpstream:
     """An upstream that may be slow, or dark and answer nothing."""
 
-    def __init__(self, clock: VirtualScheduler, listed: Upstream):
+    def __init__(
+        self,
+        clock: VirtualScheduler,
+        listed: Upstream,
+        queue_per_slot: int,
+        speed: float = 1.0,
+    ):
         self._clock = clock
         self.listed = listed
-        self.slowness = 1.0
+        self._max_queued = queue_per_slot * listed.slots
+        self.slowness = 1.0 / speed
         self.is_dark = False
         # Opens flows and answers no request.
         self.is_mute = False
         self.open_flows = 0
+        # Requests that have arrived, and those of them that were rejected.
+        self.arrivals = 0
+        self.rejections = 0
         self._busy = 0
         self._queue: deque[tuple[float, Callable[[], None]]] = deque()
 
@@ -123,12 +138,17 @@
         """Begin or queue a request; False if it is rejected."""
         if self._busy < self.listed.slots:
             self._begin(work_s, done)
-        elif len(self._queue) < QUEUE_PER_SLOT * self.listed.slots:
+        elif len(self._queue) < self._max_queued:
             self._queue.append((work_s, done))
         else:
             return False
         return True
 
+    @property
+    def load(self) -> int:
+        """The requests that it works on or queues."""
+        return self._busy + len(self._queue)
+
     def _begin(self, work_s: float, done: Callable[[], None]) -> None:
         self._busy += 1
 
@@ -145,9 +165,10 @@
 class Session:
     """A user who makes one request after another, on as few flows as it takes."""
 
-    def __init__(self, world: "FlowWorld", zone_index: int):
+    def __init__(self, world: "FlowWorld", zone_index: int, sizes: FlowSizes):
         self._world = world
         self._zone_index = zone_index
+        self._sizes = sizes
         self._rng = world.rng
         self._upstream: WorkingUpstream | None = None
         self._host: FlowSteering | None = None
@@ -161,7 +182,7 @@
 
     def begin(self) -> None:
         """Think, then make a request."""
-        pause_s = self._rng.expovariate(1.0 / self._world.sizes.think_s)
+        pause_s = self._rng.expovariate(1.0 / self._sizes.think_s)
         self._world.clock.call_later(pause_s, self._request)
 
     def _request(self) -> None:
@@ -214,7 +235,7 @@
     def _send(self) -> None:
         self._attempt += 1
         attempt = self._attempt
-        sizes = self._world.sizes
+        sizes = self._sizes
         left_s = self._started_s + sizes.deadline_s - self._world.clock.now_s()
         self._world.clock.call_later(max(0.0, left_s), lambda: self._time_out(attempt))
         self._steer(PacketKind.ESTABLISHED, REQUEST_BYTES)
@@ -223,7 +244,9 @@
                 self._world.clock.call_later(time_s, lambda: self._repeat(attempt))
             return
         work_s = sizes.work_s * self._rng.lognormvariate(0.0, sizes.work_spread)
+        self._upstream.arrivals += 1
         if not self._upstream.work(work_s, lambda: self._respond(attempt)):
+            self._upstream.rejections += 1
             self._world.clock.call_later(ROUND_TRIP_S, lambda: self._rejected(attempt))
 
     def _repeat(self, attempt: int) -> None:
@@ -240,8 +263,8 @@
         self._sequence += REQUEST_BYTES
         self._acknowledged += RESPONSE_BYTES
         self._steer(PacketKind.ESTABLISHED, 0)
-        self._world.finish(self._world.clock.now_s() - self._started_s)
-        if self._rng.random() < 1.0 / self._world.sizes.requests_per_flow:
+        self._finish(self._world.clock.now_s() - self._started_s)
+        if self._rng.random() < 1.0 / self._sizes.requests_per_flow:
             self._close(PacketKind.CLOSING)
         self.begin()
 
@@ -253,7 +276,7 @@
     def _time_out(self, attempt: int) -> None:
         if self._is_current(attempt):
             self._close(PacketKind.ABORTING)
-            self._world.finish(None)
+            self._finish(None)
             self.begin()
 
     def _close(self, kind: PacketKind) -> None:
@@ -265,13 +288,16 @@
     def _fail(self) -> None:
         waited_s = self._world.clock.now_s() - self._started_s
         self._attempt += 1
-        if self._retries == MAX_RETRIES or waited_s >= self._world.sizes.deadline_s:
-            self._world.finish(None)
+        if self._retries == MAX_RETRIES or waited_s >= self._sizes.deadline_s:
+            self._finish(None)
             self.begin()
             return
         self._retries += 1
         self._world.clock.call_later(RETRY_PAUSE_S, self._open)
 
+    def _finish(self, waited_s: float | None) -> None:
+        self._world.finish(waited_s, self._sizes)
+
     def _steer(self, kind: PacketKind, payload_bytes: int, copy: int = 0):
         tag = NO_TAG
         if self._upstream is not None:
@@ -293,54 +319,77 @@
     """An installation under load, with one policy for the choice of upstreams."""
 
     def __init__(
-        self, sizes: FlowSizes, seed: int, make_chooser: SteeringMaker | None = None
+        self,
+        sizes: FlowSizes,
+        seed: int,
+        make_chooser: SteeringMaker | None = None,
+        uses_zone_findings: bool = False,
     ):
         self.sizes = sizes
         self.rng = random.Random(seed)
         self.clock = VirtualScheduler()
         self.copies = 0
+        self.observer = self._make_observer()
         self._waits_s: list[float | None] = []
+        self._aims_s: list[float] = []
         self._flows = count(1)
         self._ratios: list[float] = []
         self.upstreams = {
-            listed.upstream_id: WorkingUpstream(self.clock, listed)
-            for listed in _listed(sizes)
+            listed.upstream_id: WorkingUpstream(
+                self.clock, listed, sizes.queue_per_slot, speed
+            )
+            for listed, speed in _listed(sizes)
         }
         self.hosts = [
-            [_host(zone, self._listing(), make_chooser, self.clock) for _ in range(n)]
-            for zone, n in enumerate([sizes.hosts_per_zone] * self._zone_count())
+            [
+                _host(self, zone, make_chooser, uses_zone_findings)
+                for _ in range(sizes.hosts_per_zone)
+            ]
+            for zone in range(self._zone_count())
         ]
+        self._begin_sessions()
+
+    def _make_observer(self) -> SteeringObserver:
+        return SilentObserver()
+
+    def _begin_sessions(self) -> None:
+        """Begin as many sessions as make the requests of the sizes."""
+        sizes = self.sizes
         cycle_s = sizes.think_s + sizes.work_s
         users = round(sizes.requests_per_s * cycle_s / self._zone_count())
         for zone in range(self._zone_count()):
             for _ in range(users):
-                Session(self, zone).begin()
+                Session(self, zone, sizes).begin()
 
     def run(self, length_s: float) -> FlowResult:
         """Play so many seconds; the first two are not counted."""
         self.clock.run_for(2.0)
         self._waits_s.clear()
+        self._aims_s.clear()
         self.copies = 0
         self._sample()
         self.clock.run_for(length_s)
         return self._result()
 
-    def finish(self, waited_s: float | None) -> None:
+    def finish(self, waited_s: float | None, sizes: FlowSizes) -> None:
         """Note the end of a request; None if it failed."""
         self._waits_s.append(waited_s)
+        self._aims_s.append(sizes.aim_s)
 
     def any_host(self, zone_index: int) -> FlowSteering:
         return self.rng.choice(self.hosts[zone_index])
 
     def next_flow(self, zone_index: int) -> FlowKey:
         number = next(self._flows)
-        client = bytes((100, 64 + zone_index)) + number.to_bytes(4, "big")
+        client = bytes((100, FIRST_CLIENT_BYTE + zone_index)) + number.to_bytes(
+            4, "big"
+        )
         return FlowKey(client + SERVICE_ADDRESS)
 
     def _zone_count(self) -> int:
         return len(self.sizes.upstreams_by_zone)
 
-    def _listing(self) -> Listing:
+    def listing(self) -> Listing:
         listed = tuple(upstream.listed for upstream in self.upstreams.values())
         return Listing((Revision(1),), listed, frozenset())
 
@@ -356,8 +405,8 @@
         total = max(1, len(waits_s))
         failed = sum(waited_s is None for waited_s in waits_s)
         on_time = sum(
-            waited_s is not None and waited_s <= self.sizes.aim_s
-            for waited_s in waits_s
+            waited_s is not None and waited_s <= aim_s
+            for waited_s, aim_s in zip(waits_s, self._aims_s, strict=True)
         )
         late = len(waits_s) - failed - on_time
         return FlowResult(
@@ -370,33 +419,37 @@
         )
 
 
-def _listed(sizes: FlowSizes) -> list[Upstream]:
+def _listed(sizes: FlowSizes) -> list[tuple[Upstream, float]]:
+    """The upstreams of all zones with their speeds."""
     return [
-        make_upstream(
-            f"{zone + 1:x}{number:03x}", zone=_zone_id(zone), slots=sizes.slots
+        (
+            make_upstream(
+                f"{zone + 1:x}{number:03x}", zone=zone_id(zone), slots=sizes.slots
+            ),
+            sizes.speeds[number % len(sizes.speeds)],
         )
         for zone, number_of in enumerate(sizes.upstreams_by_zone)
         for number in range(number_of)
     ]
 
 
-def _zone_id(zone: int) -> ZoneId:
-    return ZoneId("abcdefgh"[zone])
+def zone_id(zone: int) -> ZoneId:
+    return ZoneId(ZONE_NAMES[zone])
 
 
 def _host(
+    world: FlowWorld,
     zone: int,
-    listing: Listing,
     make_chooser: SteeringMaker | None,
-    clock: VirtualScheduler,
+    uses_zone_findings: bool,
 ) -> FlowSteering:
     directory, config = UpstreamDirectory(), ConfigView()
-    steering = FlowSteering(
-        steering_settings(_zone_id(zone)), directory, config, SilentObserver()
-    )
+    settings = steering_settings(zone_id(zone), uses_zone_findings=uses_zone_findings)
+    steering = FlowSteering(settings, directory, config, world.observer)
     if make_chooser is not None:
         steering.selector = make_chooser(steering)
-    directory.apply(listing, clock.now_s(), store_healthy_s=60.0)
+    now_s = world.clock.now_s()
+    directory.apply(world.listing(), now_s, store_healthy_s=60.0)
     config.apply(route_config(1, ("stock", 1.0)))
-    config.confirm(clock.now_s())
+    config.confirm(now_s)
     return steering
--- a/tests/sharingfleet.py
+++ b/tests/sharingfleet.py
@@ -14,14 +14,15 @@
     return route_config(version, ("stock", 1.0))
 
 
-def start_fleet(context, is_store_silent, hosts=12, zones=ZONES):
+def start_fleet(context, is_store_silent, hosts=12, zones=ZONES, **settings):
     """Start hosts that share one seed, spread over zones, and one fake store.
 
-    With ``is_store_silent`` the store answers none of them.
+    With ``is_store_silent`` the store answers none of them. ``settings`` replace fields
+    of the settings of all hosts.
     """
     random.seed(1)
     context.scheduler = VirtualScheduler()
-    context.fleet = SimulatedFleet(context.scheduler)
+    context.fleet = SimulatedFleet(context.scheduler, **settings)
     store = context.fleet.store
     store.put_config(single_route_config(1))
     store.put_upstreams(1000.0, upstream("1"), upstream("2", zone="b"))
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -208,9 +208,13 @@
 
 
 class SimulatedFleet:
-    """Hosts of several zones that share one fake store."""
+    """Hosts of several zones that share one fake store.
 
-    def __init__(self, scheduler):
+    ``settings`` replace fields of the settings of all hosts.
+    """
+
+    def __init__(self, scheduler, **settings):
+        self._settings = settings
         self.scheduler = scheduler
         self.store = FakeStoreState()
         self.hosts = []
@@ -220,7 +224,9 @@
 
     def host_settings(self, number, zone, seeds=()):
         """The settings of host ``number``, which also determines its address."""
-        return steering_settings(zone, f"host-{number}", number, seeds=seeds)
+        return steering_settings(
+            zone, f"host-{number}", number, seeds=seeds, **self._settings
+        )
 
     def add_host(self, zone, seeds=(), number=None):
         """Start a host and return it; by default it gets the next number."""
--- a/tests/steeringharness.py
+++ b/tests/steeringharness.py
@@ -110,13 +110,16 @@
 class SteeringHarness:
     """One host's steering, with its directory, configuration and simulated clock."""
 
-    def __init__(self, zone="a", config=None, upstreams=()):
+    def __init__(self, zone="a", config=None, upstreams=(), **settings):
         self.now_s = 1000.0
         self.directory = UpstreamDirectory()
         self.config_view = ConfigView()
         self.observer = RecordingObserver()
         self.steering = FlowSteering(
-            steering_settings(zone), self.directory, self.config_view, self.observer
+            steering_settings(zone, **settings),
+            self.directory,
+            self.config_view,
+            self.observer,
         )
         self.listing_revision = 0
         self.store_epoch = StoreEpoch(1)
