--- a/testbed/bench.py
+++ b/testbed/bench.py
@@ -36,6 +36,10 @@
     ),
     "bench_placement": (["--seed", SEED], ["--seed", SEED]),
     "bench_steering": (["--seed", SEED], ["--seed", SEED, "--load", "3"]),
+    "bench_uneven": (
+        ["--seed", SEED, "--jobs", "2"],
+        ["--seed", SEED, "--site", "pecan", "--demand", "moved", "--hosts", "15"],
+    ),
     # The shortest case takes more CPU time than is left in a quick run.
     "bench_policy": (["--seed", SEED], None),
 }
--- a/testbed/unevenworld.py
+++ b/testbed/unevenworld.py
@@ -45,6 +45,14 @@
     swing: float
     period_s: float
 
+    def scaled(self, factor: float) -> "Site":
+        """The same deployment at a multiple of its load."""
+        kinds = tuple(
+            kind._replace(requests_per_s=factor * kind.requests_per_s)
+            for kind in self.kinds
+        )
+        return self._replace(kinds=kinds)
+
 
 class Demand(NamedTuple):
     """Demand of each zone relative to an even one, after ``moved_at_s``.
--- a/tests/steps/upstreamweights_steps.py
+++ b/tests/steps/upstreamweights_steps.py
@@ -9,7 +9,6 @@
 from testbed.unevenworld import AS_PRINTED, SITES, Policy, UnevenWorld
 from tests.steeringfakes import NoOpShareObserver
 from tests.steeringharness import SteeringHarness, established_packet, make_listing
-from tests.steps.zonespill_steps import scaled
 from wisteriatiller.ids import Address, ZoneId
 from wisteriatiller.steering.directory import UpstreamDirectory
 from wisteriatiller.steering.evidence import (
@@ -197,7 +196,7 @@
 
 @when("{hosts:d} hosts serve upstreams of three speeds for {s:g} seconds")
 def when_three_speeds(context, hosts, s):
-    site = scaled(SITES["kopru"], 6.0, None)
+    site = SITES["kopru"].scaled(6.0)
     world = context.uneven = UnevenWorld(site, AS_PRINTED, hosts, 1, Policy())
     context.lowest = {}
 
--- a/tests/steps/zonespill_steps.py
+++ b/tests/steps/zonespill_steps.py
@@ -21,14 +21,6 @@
 DEFAULT_SEED = 1
 
 
-def scaled(site, factor, swing):
-    kinds = tuple(
-        kind._replace(requests_per_s=factor * kind.requests_per_s)
-        for kind in site.kinds
-    )
-    return site._replace(kinds=kinds, swing=site.swing if swing is None else swing)
-
-
 @given("most clients move to the third zone, and a burst comes there")
 def given_moved(context):
     context.demand = MOVED
@@ -63,7 +55,8 @@
 
 @when('{hosts:d} hosts of "{site}" serve {factor:g} times the load for {s:g} seconds')
 def when_served(context, hosts, site, factor, s):
-    site = scaled(SITES[site], factor, getattr(context, "swing", None))
+    site = SITES[site].scaled(factor)
+    site = site._replace(swing=getattr(context, "swing", site.swing))
     demand = getattr(context, "demand", AS_PRINTED)
     seed = getattr(context, "seed", DEFAULT_SEED)
     world = context.uneven = UnevenWorld(site, demand, hosts, seed, Policy())
