Check that flows which overflow are counted by zone

Cause: no test read the counter of flows that overflow, nor the utilization of the zone.

Change: a scenario places flows at a zone with one request per slot and compares the counter of each other zone with the flows placed there.

--- a/tests/steps/zonespill_steps.py
+++ b/tests/steps/zonespill_steps.py
@@ -14,7 +14,9 @@
 from tests.steeringharness import SteeringHarness, established_packet, opening_packet
 from wisteriatiller.ids import ServiceId, ZoneId
 from wisteriatiller.steering.evidence import ServiceLoad, ZoneFindings
+from wisteriatiller.steering.reporting import Reporter
 from wisteriatiller.steering.selection import ZoneLoad, plan_spill
+from wisteriatiller.telemetry import Counters, EventLog
 
 SLOTS = 40
 ZONE_NAMES = ("a", "b", "c")
@@ -313,6 +315,38 @@
     assert left == 0, left
 
 
+class SilentLog(EventLog):
+    """Ignores all events."""
+
+    def event(self, name, **pairs):
+        pass
+
+    def flow_event(self, name, **pairs):
+        pass
+
+
+@then("the metrics count each of {count:d} flows that overflows by its zone")
+def then_counted(context, count):
+    world = context.world
+    counters = Counters()
+    world.steering._observer = Reporter(
+        SilentLog(), counters, world.config_view, world.directory, lambda: world.now_s
+    )
+    zones = place_flows(context, count)
+    metrics = counters.render().splitlines()
+    for zone in ("b", "c"):
+        assert zones.count(zone) > 0, zones
+        line = f'flows_overflowed_total{{kind="{zone}"}} {zones.count(zone)}'
+        assert f"wisteriatiller_{line}" in metrics, metrics
+    assert not any('overflowed_total{kind="a"}' in line for line in metrics), metrics
+
+
+@then("its zone has a utilization of {utilization:g}")
+def then_utilization(context, utilization):
+    found = context.world.steering.selector.zone_utilization()
+    assert found == utilization, found
+
+
 @then("of {count:d} flows {least:d} to {most:d} go to the emptier zone")
 def then_spread(context, count, least, most):
     found = place_flows(context, count).count("b")
--- a/tests/zonespill.feature
+++ b/tests/zonespill.feature
@@ -94,6 +94,12 @@
     When all loads are 0.5 seconds old
     Then a copy of each of 5 overflowed opening packets stays in the zone
 
+  Scenario: Flows that overflow are counted by zone
+    # Guards against an overflow that operators cannot see.
+    Given a host whose zone has 1.0 requests in flight per slot, two others 0.1
+    Then the metrics count each of 100 flows that overflows by its zone
+    And its zone has a utilization of 1.0
+
   Scenario: Without findings of the zone nothing overflows
     # Guards against a change on deployments that do not ask for it.
     Given a host without zone findings, and loads as in a burst
