--- a/src/wisteriatiller/steering/selection/__init__.py
+++ b/src/wisteriatiller/steering/selection/__init__.py
@@ -3,6 +3,7 @@
 from .admission import AdmissionObserver, AdmissionPolicy
 from .candidates import MAX_SAMPLED_ENTRIES, sample_candidates
 from .selector import LeastFlowsSelector, Selection, UpstreamSelector
+from .zonespill import SpillPlan, ZoneLoad, ZoneSpill, plan_spill
 
 __all__ = [
     "MAX_SAMPLED_ENTRIES",
@@ -10,6 +11,10 @@
     "AdmissionPolicy",
     "LeastFlowsSelector",
     "Selection",
+    "SpillPlan",
     "UpstreamSelector",
+    "ZoneLoad",
+    "ZoneSpill",
+    "plan_spill",
     "sample_candidates",
 ]
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -238,11 +238,14 @@
 
 
 class SimulatedFleet:
-    """Hosts of several zones that share one fake store."""
+    """Hosts of several zones that share one fake store.
 
-    def __init__(self, scheduler, **settings_changes):
+    ``settings`` replace fields of the settings of all hosts.
+    """
+
+    def __init__(self, scheduler, **settings):
+        self._settings = settings
         self.scheduler = scheduler
-        self.settings_changes = settings_changes
         self.store = FakeStoreState()
         self.hosts = []
         self.hosts_by_address = {}
@@ -252,7 +255,7 @@
     def host_settings(self, number, zone, seeds=()):
         """The settings of host ``number``, which also determines its address."""
         return steering_settings(
-            zone, f"host-{number}", number, seeds=seeds, **self.settings_changes
+            zone, f"host-{number}", number, seeds=seeds, **self._settings
         )
 
     def add_host(self, zone, seeds=(), number=None):
