Exchange known hosts between the readers of zones

Cause: hosts that start together know few others of their zone, so that a zone had several readers for more than 15 s, each with a part of its hosts. Change: a reader asks the first host of each other zone every 3 s for the hosts that it knows. Another zone keeps the first ones of each zone, so the readers of a divided zone find the first of them.

--- a/src/wisteriatiller/steering/sharedstate.py
+++ b/src/wisteriatiller/steering/sharedstate.py
@@ -72,9 +72,9 @@
             report=report,
         )
 
-    def build_findings_request(self) -> SnapshotRequest:
+    def build_findings_request(self, wants_peers: bool) -> SnapshotRequest:
         """Return a request to a reader of another zone for its findings alone."""
-        request = self.build_request(wants_peers=False, wants_large_config=False)
+        request = self.build_request(wants_peers, wants_large_config=False)
         return request._replace(wants_only_findings=True)
 
     def build_snapshot(
--- a/src/wisteriatiller/steering/zoneexchange.py
+++ b/src/wisteriatiller/steering/zoneexchange.py
@@ -8,6 +8,10 @@
 from .sharedstate import SharedState
 from .snapshots import Snapshot
 
+# How often a reader asks another zone for the hosts that it knows. Hosts that start at
+# the same time know few others of their zone, and another zone may know the first.
+PEERS_INTERVAL_S = 3.0
+
 
 class ZoneExchange:
     """Fetches the findings of each other zone, one request at a time for each."""
@@ -26,6 +30,7 @@
         self._pending: set[ZoneId] = set()
         # The reader of each zone, as a host that follows it has told.
         self._readers: dict[ZoneId, Peer] = {}
+        self._peers_asked_at_s: dict[ZoneId, float] = {}
 
     def ask_other_zones(self) -> None:
         """Ask one host of each other zone, unless an answer is still awaited."""
@@ -35,10 +40,15 @@
                 self._ask(self._readers.pop(first.zone, first))
 
     def _ask(self, peer: Peer) -> None:
+        now_s = self._scheduler.now_s()
+        asked_at_s = self._peers_asked_at_s.get(peer.zone, float("-inf"))
+        wants_peers = now_s - asked_at_s >= PEERS_INTERVAL_S
+        if wants_peers:
+            self._peers_asked_at_s[peer.zone] = now_s
         self._pending.add(peer.zone)
         self._client.fetch(
             peer.address,
-            self._state.build_findings_request(),
+            self._state.build_findings_request(wants_peers),
             lambda snapshot: self._handle_snapshot(peer, snapshot),
         )
 
@@ -49,6 +59,8 @@
             registry.back_off(peer.address, now_s, is_unreachable=True)
             return
         registry.add(peer, now_s)
+        known = (Peer(address, zone) for address, zone in snapshot.peers)
+        registry.add_all(known, now_s)
         if snapshot.reader is not None:
             self._readers[peer.zone] = Peer(snapshot.reader, peer.zone)
             return
