Pace upstreams that start or recover, and keep the limit of cold ones

Cause: a host gave each new upstream 0.6 of an even share for the time of its entry and all flows after it, whatever it answered; and no host could keep a limit that counts the opening packets of all hosts. Change: WarmupPacer finds the share of an upstream that has started, recovered or come back from an evacuation out of the reports of its zone; 0.25 at first, doubled with fast answers, halved at once with slow or missing ones. WarmupQuotas lends whole flows of the limit to single hosts, and WarmupLimit counts the opening packets of one host against its quota, retransmitted ones too. Without a quota no flow goes to a cold upstream; what cannot be placed is refused as overloaded. Only with uses_zone_findings and for services with a warm-up.

--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -50,11 +50,13 @@
     ``is_withdrawn`` says that the upstream had begun to leave before the store was
     restored to a copy in which it is ready. ``has_left`` says that it drained, and that
     a healthy store then removed its entry; an entry that is missing for another reason
-    tells nothing about its upstream.
+    tells nothing about its upstream. ``evacuation_ended_at_s`` is the time from which
+    its zone may be used again after an evacuation; None if there was none.
     """
 
     __slots__ = (
         "changed_generation",
+        "evacuation_ended_at_s",
         "has_left",
         "is_withdrawn",
         "presence",
@@ -71,6 +73,7 @@
         self.presence_since_s = now_s
         self.is_withdrawn = False
         self.has_left = False
+        self.evacuation_ended_at_s: float | None = None
 
     def takes_new_flows(self) -> bool:
         is_present = self.presence in (Presence.LISTED, Presence.UNCERTAIN)
--- a/src/wisteriatiller/steering/evidence/__init__.py
+++ b/src/wisteriatiller/steering/evidence/__init__.py
@@ -1,5 +1,6 @@
 """Evidence about upstreams: what a host sees, and what its zone finds out together."""
 
+from .coldness import cold_until_s
 from .findings import (
     FINDINGS_TTL_S,
     NO_FINDINGS,
@@ -18,20 +19,35 @@
     UpstreamReport,
 )
 from .slowupstreams import Share, SlowUpstreamDetector
+from .warmup import PaceChange, PaceObserver, PaceReason, WarmupPacer
+from .warmupquotas import (
+    LEASE_S,
+    QUOTA_WINDOW_S,
+    KnownHosts,
+    WarmupQuotas,
+    flow_limit,
+    zone_budget,
+)
 from .zoneevidence import ShareObserver, ZoneEvidence
 from .zoneloads import ZoneLoads
 
 __all__ = [
     "BUCKETS",
     "FINDINGS_TTL_S",
+    "LEASE_S",
     "NO_COUNTS",
     "NO_FINDINGS",
     "NO_PROGRESS_MS",
+    "QUOTA_WINDOW_S",
     "FindingsView",
     "FlowLossDetector",
     "HealthState",
     "HostReport",
+    "KnownHosts",
     "OutlierDetector",
+    "PaceChange",
+    "PaceObserver",
+    "PaceReason",
     "ServiceLoad",
     "Share",
     "ShareObserver",
@@ -39,7 +55,12 @@
     "UpstreamHealth",
     "UpstreamRecorder",
     "UpstreamReport",
+    "WarmupPacer",
+    "WarmupQuotas",
     "ZoneEvidence",
     "ZoneFindings",
     "ZoneLoads",
+    "cold_until_s",
+    "flow_limit",
+    "zone_budget",
 ]
--- a/src/wisteriatiller/steering/evidence/findings.py
+++ b/src/wisteriatiller/steering/evidence/findings.py
@@ -39,12 +39,15 @@
     """Shares of new flows, silent upstreams and loads, as a reader hands them out.
 
     ``shares`` holds the fractions of the upstreams that get less than their usual share
-    of new flows, ``silent`` the tags of those that answer nobody.
+    of new flows, and full shares of those that have just warmed up. ``silent`` holds
+    the tags of those that answer nobody. ``warmup_quotas`` is for one host: how many
+    flows it may open at each cold upstream with a limit.
     """
 
     shares: Mapping[Tag, float] = {}
     silent: frozenset[Tag] = frozenset()
     loads: tuple[ServiceLoad, ...] = ()
+    warmup_quotas: Mapping[Tag, int] = {}
 
 
 NO_FINDINGS = ZoneFindings()
@@ -70,6 +73,14 @@
         """The fraction of its usual share that an upstream may take; 1 by default."""
         return self.current(now_s).shares.get(tag, 1.0)
 
+    def names_share_of(self, tag: Tag, now_s: float) -> bool:
+        """Whether the findings tell a share of the upstream, if only a full one."""
+        return tag in self.current(now_s).shares
+
+    def warmup_quota(self, tag: Tag, now_s: float) -> int:
+        """How many flows this host may open at a cold upstream; 0 by default."""
+        return self.current(now_s).warmup_quotas.get(tag, 0)
+
     def is_silent(self, tag: Tag, now_s: float) -> bool:
         """Whether the upstream answers nobody in its zone."""
         return tag in self.current(now_s).silent
--- a/src/wisteriatiller/steering/evidence/slowupstreams.py
+++ b/src/wisteriatiller/steering/evidence/slowupstreams.py
@@ -115,13 +115,13 @@
         for _, host, report in self._reports:
             counts = counts_by_host.setdefault(host, [0] * BUCKETS)
             for histogram in report:
-                _add_counts(counts, histogram.counts)
+                add_counts(counts, histogram.counts)
         total = [sum(column) for column in zip(*counts_by_host.values(), strict=True)]
-        limit = _median_bucket(total) + SLOW_HOST_BUCKETS
+        limit = median_bucket(total) + SLOW_HOST_BUCKETS
         return {
             host
             for host, counts in counts_by_host.items()
-            if sum(counts) >= MIN_SAMPLES and _median_bucket(counts) >= limit
+            if sum(counts) >= MIN_SAMPLES and median_bucket(counts) >= limit
         }
 
     def _aggregate_reports(self, excluded: set[Address]) -> dict[Tag, _Aggregate]:
@@ -140,19 +140,19 @@
     """The reduced shares of the slow upstreams of a service, slowest first."""
     total = [0] * BUCKETS
     for _, aggregate in group:
-        _add_counts(total, aggregate.counts)
-    typical = _median_bucket(total)
+        add_counts(total, aggregate.counts)
+    typical = median_bucket(total)
     limit = max(typical + SLOW_BUCKETS, MIN_SLOW_BUCKET)
     found = [
         _reduced_share(entry, aggregate, typical)
         for entry, aggregate in group
-        if aggregate.has_enough_samples() and _median_bucket(aggregate.counts) >= limit
+        if aggregate.has_enough_samples() and median_bucket(aggregate.counts) >= limit
     ]
     return sorted(found, key=lambda share: (-share.median_bucket, share.tag))
 
 
 def _reduced_share(entry: DirectoryEntry, aggregate: _Aggregate, typical: int) -> Share:
-    median = _median_bucket(aggregate.counts)
+    median = median_bucket(aggregate.counts)
     return Share(
         tag=entry.tag,
         upstream_id=entry.upstream.upstream_id,
@@ -163,12 +163,12 @@
     )
 
 
-def _add_counts(counts: list[int], others: Iterable[int]) -> None:
+def add_counts(counts: list[int], others: Iterable[int]) -> None:
     for index, count in enumerate(others):
         counts[index] += count
 
 
-def _median_bucket(counts: Iterable[int]) -> int:
+def median_bucket(counts: Iterable[int]) -> int:
     """The bucket of the median; 0 if there are no samples."""
     counts = list(counts)
     half = sum(counts) / 2
--- a/src/wisteriatiller/steering/evidence/zoneevidence.py
+++ b/src/wisteriatiller/steering/evidence/zoneevidence.py
@@ -1,23 +1,27 @@
 """A host's part in what the hosts of a zone find out together."""
 
-from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from abc import abstractmethod
+from collections.abc import Callable, Mapping
 
 from wisteriatiller.ids import Address, ZoneId
 
 from ..directory import UpstreamDirectory
+from ..routes import ConfigView
 from ..settings import SteeringSettings
 from ..upstreams import Tag
 from .findings import FINDINGS_TTL_S, FindingsView, ZoneFindings
 from .reports import HostReport, UpstreamRecorder
 from .slowupstreams import Share, SlowUpstreamDetector
+from .warmup import PaceObserver, WarmupPacer
+from .warmupquotas import Demand, KnownHosts, WarmupQuotas
 from .zoneloads import ZoneLoads
 
 # Reports arrive several times a second, and the findings need not change that often.
 RECOMPUTE_INTERVAL_S = 0.3
+NO_KNOWN_HOSTS = KnownHosts(1, frozenset())
 
 
-class ShareObserver(ABC):
+class ShareObserver(PaceObserver):
     """Is notified when the share of a slow upstream is lowered or restored."""
 
     @abstractmethod
@@ -42,6 +46,7 @@
         recorder: UpstreamRecorder,
         findings: FindingsView,
         observer: ShareObserver,
+        config: ConfigView,
     ):
         self._settings = settings
         self._own = own
@@ -51,6 +56,9 @@
         self._observer = observer
         self._slow = SlowUpstreamDetector(directory)
         self._loads = ZoneLoads(settings.zone, directory)
+        self._pacer = WarmupPacer(settings.zone, directory, config, observer)
+        self._quotas = WarmupQuotas(settings, own, directory, config)
+        self.known_hosts: Callable[[], KnownHosts] = lambda: NO_KNOWN_HOSTS
         self._lowered: Mapping[Tag, Share] = {}
         self._computed = ZoneFindings()
         self._computed_at_s = float("-inf")
@@ -68,6 +76,9 @@
         self._slow.add_report(host, report, now_s)
         if self._settings.uses_zone_findings:
             self._loads.add_report(host, report, now_s)
+            self._pacer.add_report(host, report, now_s)
+            if report:
+                self._quotas.add_host(host, now_s)
 
     def set_foreign_findings(
         self, zone: ZoneId, findings: ZoneFindings, now_s: float
@@ -91,14 +102,24 @@
             self.add_report(self._own, self._recorder.take_report(now_s), now_s)
         self._computed = self._compute(now_s)
         if not is_following:
-            self._findings.set(self._computed, now_s)
+            demand = Demand(self._computed.shares, self._computed.loads)
+            self._quotas.read(demand, self.known_hosts(), now_s)
+            self._findings.set(self.findings_for(self._own, now_s), now_s)
         return self._computed
 
+    def findings_for(self, host: Address, now_s: float) -> ZoneFindings:
+        """The computed findings, with the quotas of one host of the zone."""
+        if not self._settings.uses_zone_findings:
+            return self._computed
+        quotas = self._quotas.quotas_of(host, self.known_hosts(), now_s)
+        return self._computed._replace(warmup_quotas=quotas)
+
     def apply_findings(self, findings: ZoneFindings, now_s: float) -> None:
         """Apply the findings that another host has computed."""
         self._findings.set(findings, now_s)
         if self._settings.uses_zone_findings:
             self._followed_at_s = now_s
+            self._quotas.follow(self.known_hosts(), now_s)
 
     def _compute(self, now_s: float) -> ZoneFindings:
         lowered = self._slow.reduced_shares(now_s)
@@ -108,6 +129,9 @@
         shares = {share.tag: share.fraction for share in lowered.values()}
         if not self._settings.uses_zone_findings:
             return ZoneFindings(shares)
+        in_force = self._findings.current(now_s).shares
+        for tag, share in self._pacer.shares(in_force, now_s).items():
+            shares[tag] = min(share, shares.get(tag, 1.0))
         return ZoneFindings(
             shares, self._silent_in_other_zones(now_s), self._loads.rows(now_s)
         )
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -129,6 +129,7 @@
                 self.steering.recorder,
                 self.steering.findings,
                 reporter,
+                self.config,
             ),
             (config_watcher, directory_poller),
             observer,
--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -71,6 +71,7 @@
     UNKNOWN_TAG = "unknown_tag"
     ROUTE_UNCERTAIN = "route_uncertain"
     NO_STATE = "no_state"
+    WARMUP_LIMIT = "warmup_limit"
 
 
 class Forward(NamedTuple):
--- a/src/wisteriatiller/steering/peers.py
+++ b/src/wisteriatiller/steering/peers.py
@@ -6,6 +6,7 @@
 
 from wisteriatiller.ids import Address, ZoneId
 
+from .evidence import KnownHosts
 from .snapshots import Snapshot, SnapshotRequest
 
 # Hosts of the own zone share reads of the store. Of every other zone only a few are
@@ -114,6 +115,14 @@
                 first[peer.zone] = min(peer, first.get(peer.zone, peer))
         return list(first.values())
 
+    def known_hosts(self) -> KnownHosts:
+        """How many hosts of the own zone are known, and of which other zones."""
+        zones = [peer.zone for peer in self._last_seen_at_s]
+        return KnownHosts(
+            1 + zones.count(self.own.zone),
+            frozenset(zones) - {self.own.zone, UNKNOWN_ZONE},
+        )
+
     def available_peers(self, now_s: float) -> list[Peer]:
         """All hosts, of any zone, that may be asked for a snapshot."""
         return [
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -4,7 +4,7 @@
 from wisteriatiller.telemetry import Counters, EventLog
 
 from .directory import DirectoryEntry, UpstreamChange, UpstreamDirectory
-from .evidence import Share, ShareObserver
+from .evidence import PaceChange, Share, ShareObserver
 from .flowtable import Flow
 from .packets import Discard, LossEvidence, Packet, Refuse, format_flow
 from .ports import ConfigInvalid, StoreFailure
@@ -22,6 +22,27 @@
 MAX_CHANGE_LINES = 40
 # A store that answers with older listings may do so for many polls.
 REJECTION_LOG_INTERVAL_S = 5.0
+# Upstreams of a whole zone may warm up at once, each in several steps. The counters
+# count all steps.
+MAX_PACE_LINES = 60
+PACE_LINES_INTERVAL_S = 10.0
+
+
+class _LineLimit:
+    """Allows a number of lines in each interval."""
+
+    def __init__(self, lines: int, interval_s: float):
+        self._lines = lines
+        self._interval_s = interval_s
+        self._begun_at_s = float("-inf")
+        self._taken = 0
+
+    def take(self, now_s: float) -> bool:
+        """Whether one more line may be written."""
+        if now_s - self._begun_at_s >= self._interval_s:
+            self._begun_at_s, self._taken = now_s, 0
+        self._taken += 1
+        return self._taken <= self._lines
 
 
 class Reporter(SteeringObserver, StateObserver, ShareObserver):
@@ -43,6 +64,7 @@
         self._lost_calls: set[str] = set()
         self._store_epoch = NO_EPOCH
         self._rejection_logged_at_s = float("-inf")
+        self._pace_lines = _LineLimit(MAX_PACE_LINES, PACE_LINES_INTERVAL_S)
         self.on_unknown_tag = lambda: None
 
     def flow_placed(
@@ -110,6 +132,19 @@
         self._counters.count("shares_restored")
         self._log_share("upstream_share_restored", share)
 
+    def pace_changed(self, change: PaceChange) -> None:
+        self._counters.count("pace_changes", change.reason.value)
+        if not self._pace_lines.take(self._now_s()):
+            return
+        self._log.event(
+            "upstream_pace_changed",
+            upstream=change.upstream_id,
+            share=round(change.share, 3),
+            samples=change.samples,
+            reason=change.reason.value,
+            **self._state_fields(),
+        )
+
     def unknown_tag_received(self) -> None:
         self.on_unknown_tag()
 
--- a/src/wisteriatiller/steering/selection/__init__.py
+++ b/src/wisteriatiller/steering/selection/__init__.py
@@ -2,11 +2,13 @@
 
 from .candidates import MAX_SAMPLED_ENTRIES, sample_candidates
 from .selector import LeastFlowsSelector, Selection, UpstreamSelector
+from .warmuplimit import WarmupLimit
 
 __all__ = [
     "MAX_SAMPLED_ENTRIES",
     "LeastFlowsSelector",
     "Selection",
     "UpstreamSelector",
+    "WarmupLimit",
     "sample_candidates",
 ]
--- a/src/wisteriatiller/steering/selection/selector.py
+++ b/src/wisteriatiller/steering/selection/selector.py
@@ -21,6 +21,7 @@
 from .candidates import EntriesByZone, hash_fraction, sample_candidates
 from .slowstart import SlowStart
 from .trials import TrialPolicy
+from .warmuplimit import WarmupLimit
 
 
 class Selection(NamedTuple):
@@ -45,7 +46,7 @@
         excluded: Collection[UpstreamId],
         now_s: float,
     ) -> Selection | None:
-        """Return the best entry for a new flow; None if there are no entries.
+        """Return the best entry for a new flow; None if none may take it.
 
         ``excluded`` holds the upstreams that this flow has tried already. They are
         selected only if there are no others.
@@ -66,6 +67,7 @@
         flows: FlowTable,
         outliers: OutlierDetector,
         findings: FindingsView,
+        warmup_limit: WarmupLimit,
     ):
         self._zone = settings.zone
         self._remote_weight = settings.remote_weight
@@ -75,7 +77,8 @@
         self._entries = EntriesByZone(settings.zone)
         self._bursts = BurstDetector()
         self._trials = TrialPolicy(settings.zone, outliers)
-        self._slow_start = SlowStart(outliers, findings)
+        self._slow_start = SlowStart(settings, config, outliers, findings)
+        self._warmup_limit = warmup_limit
 
     def select(
         self,
@@ -93,15 +96,22 @@
             *sample_candidates(service_entries.local, flow),
             *sample_candidates(service_entries.remote, flow),
         ]
+        is_burst = self._bursts.count_and_detect(service_entries, now_s)
+        allowed = self._warmup_limit.allowed(sampled, now_s)
+        allowed = allowed or self._warmup_limit.allowed(entries, now_s)
+        if not allowed:
+            return None
         untried = [
-            entry for entry in sampled if entry.upstream.upstream_id not in excluded
+            entry for entry in allowed if entry.upstream.upstream_id not in excluded
         ]
-        pool = untried or sampled
-        is_burst = self._bursts.count_and_detect(service_entries, now_s)
+        pool = untried or allowed
         trial = self._trials.pick(pool, excluded, is_burst, now_s)
         if trial is not None:
             return Selection(trial, len(pool), True)
         trusted = [entry for entry in pool if self._is_trusted(entry)] or pool
+        due = self._warmup_limit.pick_due(trusted, flow, now_s)
+        if due is not None:
+            return Selection(due, len(trusted), False)
         trusted = self._slow_start.filter(trusted, flow, now_s) or trusted
         remote_weight = 1.0 if is_burst else self._remote_weight
         best = min(
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -65,6 +65,7 @@
         self._state = state
         self._registry = state.registry
         self._evidence = evidence
+        evidence.known_hosts = state.registry.known_hosts
         self._zone_exchange = ZoneExchange(scheduler, client, state, evidence)
         self._config_watcher, self._directory_poller = pollers
         self._directory_poller.on_listing_read = self._resume_config_watch
@@ -108,6 +109,8 @@
         self._evidence.add_report(request.address, request.report, now_s)
         aggregates = is_reading or (reads_itself and self._settings.uses_zone_findings)
         findings = self._evidence.update_findings(now_s) if aggregates else NO_FINDINGS
+        if aggregates and request.zone == self._registry.own.zone:
+            findings = self._evidence.findings_for(request.address, now_s)
         return self._state.build_snapshot(
             request, is_reading, has_lost_store, reader, findings, now_s
         )
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -41,7 +41,7 @@
 from .upstreams import ListingDelta, ListingVersion, Tag, Upstream, UpstreamState
 
 MAX_SNAPSHOT_BYTES = 8_000_000
-FORMAT_VERSION = 6
+FORMAT_VERSION = 7
 # Compressing smaller parts would save less than a packet.
 MIN_COMPRESSED_BYTES = 1_200
 COMPRESSION_LEVEL = 1
@@ -276,14 +276,18 @@
         list(findings.shares.items()),
         list(findings.silent),
         [list(load) for load in findings.loads],
+        list(findings.warmup_quotas.items()),
     ]
 
 
-def _decode_findings(shares: list, silent: list, loads: list) -> ZoneFindings:
+def _decode_findings(
+    shares: list, silent: list, loads: list, warmup_quotas: list
+) -> ZoneFindings:
     return ZoneFindings(
         shares={Tag(int(tag)): _decode_fraction(part) for tag, part in shares},
         silent=frozenset(Tag(int(tag)) for tag in silent),
         loads=tuple(_decode_load(*load) for load in loads),
+        warmup_quotas={Tag(int(tag)): int(flows) for tag, flows in warmup_quotas},
     )
 
 
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -24,7 +24,7 @@
     Refuse,
 )
 from .routes import ConfigView, Route
-from .selection import LeastFlowsSelector, UpstreamSelector
+from .selection import LeastFlowsSelector, UpstreamSelector, WarmupLimit
 from .settings import SteeringSettings
 from .upstreams import NO_TAG
 
@@ -94,8 +94,14 @@
         self._losses = FlowLossDetector(self.flows, self.outliers)
         self._unconfirmed_openings: deque[Flow] = deque()
         self._unanswered_requests: deque[tuple[Flow, float]] = deque()
+        self.warmup_limit = WarmupLimit(settings, config, self.findings)
         self.selector: UpstreamSelector = LeastFlowsSelector(
-            settings, config, self.flows, self.outliers, self.findings
+            settings,
+            config,
+            self.flows,
+            self.outliers,
+            self.findings,
+            self.warmup_limit,
         )
 
     def steer(self, packet: Packet, now_s: float) -> Decision:
@@ -129,7 +135,7 @@
         if flow is not None and not self._is_retransmission(flow, packet):
             flow = None
         if flow is not None and not self._has_opening_timed_out(flow, now_s):
-            return self._forward_to_same_upstream(flow)
+            return self._forward_to_same_upstream(flow, now_s)
         if flow is not None:
             self._record_missing_answer(flow, now_s, is_opening=True)
         return self._place_flow(packet, route, flow, now_s)
@@ -185,11 +191,15 @@
         is_opening = flow.state is FlowState.OPENING
         return is_opening and now_s - flow.sent_at_s >= MIN_RETRANSMIT_INTERVAL_S
 
-    def _forward_to_same_upstream(self, flow: Flow) -> Decision:
+    def _forward_to_same_upstream(self, flow: Flow, now_s: float) -> Decision:
         """Forward a retransmitted opening to the upstream of the previous one."""
         entry = self._directory.get(flow.upstream_id)
         if entry is None:
             return Discard(DiscardReason.NO_STATE)
+        # The previous packet may still be answered, so the flow is not refused.
+        if not self.warmup_limit.allows(entry, now_s):
+            return Discard(DiscardReason.WARMUP_LIMIT)
+        self.warmup_limit.record(entry, now_s)
         return Forward(entry.upstream, entry.tag)
 
     def _place_flow(
@@ -200,14 +210,17 @@
         ``flow`` is the flow whose previous opening packets got no answer, if any.
         """
         tried = () if flow is None else (*flow.tried, flow.upstream_id)
-        selection = None
+        selection, refusal = None, RefusalReason.NO_UPSTREAM
         for service in self._config.ranked_services(route, packet.flow):
             entries = self._directory.eligible_entries(service)
             selection = self.selector.select(entries, packet.flow, tried, now_s)
             if selection is not None:
                 break
+            if entries:
+                refusal = RefusalReason.OVERLOADED
         if selection is None:
-            return Refuse(RefusalReason.NO_UPSTREAM)
+            return Refuse(refusal)
+        self.warmup_limit.record(selection.entry, now_s)
         upstream_id = selection.entry.upstream.upstream_id
         if flow is None:
             flow = self.flows.add(packet.flow, upstream_id, now_s)
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -69,6 +69,9 @@
     def share_restored(self, share):
         pass
 
+    def pace_changed(self, change):
+        pass
+
 
 class ProcessScheduler(Scheduler):
     """The scheduler of one process; timers due after ``stop`` do not run."""
@@ -168,6 +171,7 @@
             self.recorder,
             self.findings,
             NoOpShareObserver(),
+            self.view,
         )
         self.sharing = ReadSharing(
             self.settings,
