Count the warm upstreams of other zones when most of a zone warm up

Cause: if all upstreams of a zone were cold, for example after an evacuation, their shares were raised to full ones although other zones had warm upstreams.

--- a/src/wisteriatiller/steering/evidence/warmup.py
+++ b/src/wisteriatiller/steering/evidence/warmup.py
@@ -204,7 +204,7 @@
         return {
             tag: share
             for group in groups.values()
-            for tag, share in self._even_out(group).items()
+            for tag, share in self._even_out(group, now_s).items()
         }
 
     def returned(self, now_s: float) -> frozenset[Tag]:
@@ -361,18 +361,31 @@
         if has_changed:
             self._notify(entry.upstream.upstream_id, share, samples, reason)
 
-    def _even_out(self, group: list[DirectoryEntry]) -> dict[Tag, float]:
-        """The shares of a service's upstreams, raised if the warm ones are too few."""
+    def _even_out(self, group: list[DirectoryEntry], now_s: float) -> dict[Tag, float]:
+        """The shares of a service's upstreams, raised if the warm ones are too few.
+
+        Those of other zones count too: new flows go there if the own zone takes none.
+        """
         paces = {
             entry.tag: self._paces[entry.tag].share
             for entry in group
             if entry.tag in self._paces
         }
         total = sum(paces.values())
-        needed = len(group) - MAX_WARM_LOAD * (len(group) - len(paces))
-        factor = max(1.0, needed / total) if total else 1.0
+        if not paces:
+            return {}
+        warm = len(group) - len(paces) + self._warm_elsewhere(group[0], now_s)
+        needed = len(paces) - (MAX_WARM_LOAD - 1.0) * warm
+        factor = max(1.0, needed / total)
         return {tag: min(1.0, factor * share) for tag, share in paces.items()}
 
+    def _warm_elsewhere(self, entry: DirectoryEntry, now_s: float) -> int:
+        """How many upstreams of the same service in other zones are warm."""
+        return sum(
+            other.upstream.zone != self._zone and not self._is_cold(other, now_s)
+            for other in self._directory.eligible_entries(entry.upstream.service)
+        )
+
     def _notify(
         self, upstream_id: UpstreamId, share: float, samples: int, reason: PaceReason
     ) -> None:
