--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -72,6 +72,8 @@
     ROUTE_UNCERTAIN = "route_uncertain"
     NO_STATE = "no_state"
     WARMUP_LIMIT = "warmup_limit"
+    # A repeated opening packet of a flow that may have opened in an evacuated zone.
+    ZONE_EVACUATED = "zone_evacuated"
 
 
 class Forward(NamedTuple):
