--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -141,6 +141,7 @@
                 self.steering.recorder,
                 self.steering.findings,
                 reporter,
+                self.config,
             ),
             (config_watcher, directory_poller),
             updater,
--- a/src/wisteriatiller/steering/selection/__init__.py
+++ b/src/wisteriatiller/steering/selection/__init__.py
@@ -3,6 +3,7 @@
 from .admission import AdmissionObserver, AdmissionPolicy
 from .candidates import MAX_SAMPLED_ENTRIES, sample_candidates
 from .selector import LeastFlowsSelector, Selection, UpstreamSelector
+from .warmuplimit import WarmupLimit
 from .zonespill import SpillPlan, ZoneLoad, ZoneSpill, plan_spill
 
 __all__ = [
@@ -13,6 +14,7 @@
     "Selection",
     "SpillPlan",
     "UpstreamSelector",
+    "WarmupLimit",
     "ZoneLoad",
     "ZoneSpill",
     "plan_spill",
--- a/src/wisteriatiller/steering/selection/selector.py
+++ b/src/wisteriatiller/steering/selection/selector.py
@@ -26,6 +26,7 @@
 )
 from .slowstart import SlowStart
 from .trials import TrialPolicy
+from .warmuplimit import WarmupLimit
 from .zonespill import ZoneSpill
 
 
@@ -53,7 +54,7 @@
         excluded: Collection[UpstreamId],
         now_s: float,
     ) -> Selection | None:
-        """Return the best entry for a new flow; None if there are no entries.
+        """Return the best entry for a new flow; None if none may take it.
 
         ``excluded`` holds the upstreams that this flow has tried already. They are
         selected only if there are no others.
@@ -79,6 +80,7 @@
         flows: FlowTable,
         outliers: OutlierDetector,
         findings: FindingsView,
+        warmup_limit: WarmupLimit,
     ):
         self._zone = settings.zone
         self._remote_weight = settings.remote_weight
@@ -88,7 +90,8 @@
         self._entries = EntriesByZone(settings.zone)
         self._bursts = BurstDetector()
         self._trials = TrialPolicy(settings.zone, outliers)
-        self._slow_start = SlowStart(settings, outliers, findings)
+        self._slow_start = SlowStart(settings, config, outliers, findings)
+        self._warmup_limit = warmup_limit
         self.spill: ZoneSpill | None = None
         if settings.uses_zone_findings:
             self.spill = ZoneSpill(settings.zone, outliers, findings)
@@ -107,11 +110,23 @@
         service_entries = self._entries.split(entries)
         is_burst = self._bursts.count_and_detect(service_entries, now_s)
         overflow = self._overflow_pool(service_entries, flow, excluded, now_s)
-        pool = overflow or _untried_sample(service_entries, flow, excluded)
-        trial = self._trials.pick(pool, excluded, is_burst, now_s)
+        candidates = overflow or _untried_sample(service_entries, flow, excluded)
+        pool = self._warmup_limit.allowed(candidates, now_s)
+        pool = pool or self._warmup_limit.allowed(entries, now_s)
+        if not pool:
+            return None
+        on_trial = [
+            entry
+            for entry in candidates
+            if self._warmup_limit.allows_trial(entry, now_s)
+        ]
+        trial = self._trials.pick(on_trial, excluded, is_burst, now_s)
         if trial is not None:
             return Selection(trial, len(pool), True, bool(overflow))
         trusted = [entry for entry in pool if self._is_trusted(entry)] or pool
+        due = self._warmup_limit.pick_due(trusted, flow, now_s)
+        if due is not None:
+            return Selection(due, len(trusted), False, bool(overflow))
         even_count = self._even_count(trusted, is_burst)
         trusted = self._slow_start.filter(trusted, flow, now_s, even_count) or trusted
         remote_weight = 1.0 if is_burst else self._remote_weight
--- a/src/wisteriatiller/steering/selection/slowstart.py
+++ b/src/wisteriatiller/steering/selection/slowstart.py
@@ -1,17 +1,22 @@
 """Limits the share of new flows of upstreams that are cold, slow or just back."""
 
 import math
+from collections import Counter
 from collections.abc import Sequence
 
-from wisteriatiller.ids import FlowKey
+from wisteriatiller.ids import FlowKey, ZoneId
 
 from ..directory import DirectoryEntry
 from ..evidence import FindingsView, OutlierDetector
+from ..routes import ConfigView
 from ..settings import SteeringSettings
 from .candidates import hash_fraction
 
 # Speed of a cold upstream relative to a warm one, approximately.
 COLD_UPSTREAM_SHARE = 0.6
+# Upstreams that answer slowly get this share or less; those that are only loaded more
+# than others get more.
+SLOW_UPSTREAM_SHARE = 0.25
 
 
 class SlowStart:
@@ -25,10 +30,12 @@
     def __init__(
         self,
         settings: SteeringSettings,
+        config: ConfigView,
         outliers: OutlierDetector,
         findings: FindingsView,
     ):
-        self._uses_zone_findings = settings.uses_zone_findings
+        self._settings = settings
+        self._config = config
         self._outliers = outliers
         self._findings = findings
 
@@ -41,35 +48,68 @@
     ) -> list[DirectoryEntry]:
         """Return the entries of the pool that may take this flow.
 
-        An even share is one of ``even_count``; by default, one of the whole pool.
+        An even share is one of ``even_count`` for upstreams that are merely loaded more
+        than others; by default, one of the whole pool.
         """
-        count = even_count or len(pool)
+        in_zone = Counter(entry.upstream.zone for entry in pool)
         return [
             entry
             for entry in pool
-            if hash_fraction(entry, flow) * count < self._share(entry, now_s)
+            if hash_fraction(entry, flow)
+            < self._probability(
+                entry, len(pool), even_count or len(pool), in_zone, now_s
+            )
         ]
 
-    def _share(self, entry: DirectoryEntry, now_s: float) -> float:
-        """Return the fraction of an even share that an upstream may take.
+    def _probability(
+        self,
+        entry: DirectoryEntry,
+        pool_size: int,
+        even_count: int,
+        in_zone: Counter[ZoneId],
+        now_s: float,
+    ) -> float:
+        """Return the probability that an upstream may take a flow.
 
-        Infinity means that the upstream is not limited.
+        Infinity means that it is not limited. Upstreams that are slow, cold or just
+        back may fail again, so that their even share is one of all that are compared.
         """
+        share = self._findings.share_of(entry.tag, now_s)
+        if self._is_paced(entry, now_s):
+            return _draw_limit(share) / in_zone[entry.upstream.zone]
+        if self._settings.uses_zone_findings and share > SLOW_UPSTREAM_SHARE:
+            by_zone = _draw_limit(share) / even_count
+        else:
+            by_zone = _unless_full(share) / pool_size
+        return min(by_zone, self._local_share(entry, now_s) / pool_size)
+
+    def _local_share(self, entry: DirectoryEntry, now_s: float) -> float:
+        """Return the share by what this host knows itself; infinity if it is full."""
         health = self._outliers.health_of(entry.upstream.upstream_id)
-        share = min(self._share_by_zone(entry, now_s), health.slow_start_share(now_s))
+        share = health.slow_start_share(now_s)
         listed_ms = 1000.0 * (now_s - entry.presence_since_s)
         if entry.upstream.cold_for_ms > listed_ms:
             return min(share, COLD_UPSTREAM_SHARE)
-        return share if share < 1.0 else math.inf
+        return _unless_full(share)
 
-    def _share_by_zone(self, entry: DirectoryEntry, now_s: float) -> float:
-        """Return the fraction that the zone's reader has found, for a draw by hash.
+    def _is_paced(self, entry: DirectoryEntry, now_s: float) -> bool:
+        """Whether the reader finds the share of this upstream from its answers."""
+        if not self._settings.uses_zone_findings:
+            return False
+        is_configured = self._config.warmup_of(entry.upstream.service) is not None
+        return is_configured and self._findings.names_share_of(entry.tag, now_s)
 
-        Among entries with equally many flows the lowest hash wins, so that one which
-        may take a flow still loses it to others. The fraction is raised by that, or
-        the step from 1 to slightly less would cost a third of the flows.
-        """
-        share = self._findings.share_of(entry.tag, now_s)
-        if share >= 1.0 or not self._uses_zone_findings:
-            return share
-        return -math.log(1.0 - share)
+
+def _unless_full(share: float) -> float:
+    """Return a share that limits an upstream; infinity for a full one."""
+    return share if share < 1.0 else math.inf
+
+
+def _draw_limit(share: float) -> float:
+    """Return the limit of a draw by hash that leaves an upstream a share.
+
+    Among entries with equally many flows the lowest hash wins, so that one which may
+    take a flow still loses it to others. The limit is raised by that, or the step from
+    1 to slightly less would cost a third of the flows.
+    """
+    return math.inf if share >= 1.0 else -math.log(1.0 - share)
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -67,6 +67,7 @@
         self._state = state
         self._registry = state.registry
         self._evidence = evidence
+        evidence.known_hosts = state.registry.known_hosts
         self._zone_exchange = ZoneExchange(scheduler, client, state, evidence)
         self._config_watcher, self._directory_poller = pollers
         self._evacuations = evacuations
@@ -117,6 +118,8 @@
             and not self._evidence.is_following(now_s)
         )
         findings = self._evidence.update_findings(now_s) if aggregates else NO_FINDINGS
+        if aggregates and request.zone == self._registry.own.zone:
+            findings = self._evidence.findings_for(request.address, now_s)
         return self._state.build_snapshot(
             request, is_reading, has_lost_store, reader, findings, now_s
         )
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -310,14 +310,18 @@
         list(findings.shares.items()),
         list(findings.silent),
         [list(load) for load in findings.loads],
+        list(findings.warmup_quotas.items()),
     ]
 
 
-def _decode_findings(shares: list, silent: list, loads: list) -> ZoneFindings:
+def _decode_findings(
+    shares: list, silent: list, loads: list, warmup_quotas: list
+) -> ZoneFindings:
     return ZoneFindings(
         shares={Tag(int(tag)): _decode_fraction(part) for tag, part in shares},
         silent=frozenset(Tag(int(tag)) for tag in silent),
         loads=tuple(_decode_load(*load) for load in loads),
+        warmup_quotas={Tag(int(tag)): int(flows) for tag, flows in warmup_quotas},
     )
 
 
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -30,6 +30,7 @@
     AdmissionPolicy,
     LeastFlowsSelector,
     UpstreamSelector,
+    WarmupLimit,
 )
 from .settings import SteeringSettings
 from .upstreams import NO_TAG
@@ -100,8 +101,14 @@
         self._losses = FlowLossDetector(self.flows, self.outliers)
         self._unconfirmed_openings: deque[Flow] = deque()
         self._unanswered_requests: deque[tuple[Flow, float]] = deque()
+        self.warmup_limit = WarmupLimit(settings, config, self.findings)
         self.selector: UpstreamSelector = LeastFlowsSelector(
-            settings, config, self.flows, self.outliers, self.findings
+            settings,
+            config,
+            self.flows,
+            self.outliers,
+            self.findings,
+            self.warmup_limit,
         )
         self.admission: AdmissionPolicy | None = None
         if settings.uses_zone_findings:
@@ -140,7 +147,7 @@
         if flow is not None and not self._is_retransmission(flow, packet):
             flow = None
         if flow is not None and not self._has_opening_timed_out(flow, now_s):
-            return self._forward_to_same_upstream(flow)
+            return self._forward_to_same_upstream(flow, now_s)
         if flow is not None:
             self._record_missing_answer(flow, now_s, is_opening=True)
         return self._place_flow(packet, route, flow, now_s)
@@ -196,13 +203,17 @@
         is_opening = flow.state is FlowState.OPENING
         return is_opening and now_s - flow.sent_at_s >= MIN_RETRANSMIT_INTERVAL_S
 
-    def _forward_to_same_upstream(self, flow: Flow) -> Decision:
+    def _forward_to_same_upstream(self, flow: Flow, now_s: float) -> Decision:
         """Forward a retransmitted opening to the upstream of the previous one."""
         entry = self._directory.get(flow.upstream_id)
         if entry is None:
             return Discard(DiscardReason.NO_STATE)
         if self._directory.is_evacuated(entry):
             return Discard(DiscardReason.ZONE_EVACUATED)
+        # The previous packet may still be answered, so the flow is not refused.
+        if not self.warmup_limit.allows(entry, now_s):
+            return Discard(DiscardReason.WARMUP_LIMIT)
+        self.warmup_limit.record(entry, now_s)
         return Forward(entry.upstream, entry.tag)
 
     def _place_flow(
@@ -231,6 +242,7 @@
             return self.admission.refuse(packet, overload, now_s)
         if selection is None:
             return self._reject_without_upstream(services, flow)
+        self.warmup_limit.record(selection.entry, now_s)
         upstream_id = selection.entry.upstream.upstream_id
         if flow is None:
             flow = self.flows.add(packet.flow, upstream_id, now_s)
@@ -258,8 +270,13 @@
     ) -> Decision:
         """Refuse a flow, unless an earlier packet may have opened it elsewhere.
 
-        A reset would end such a flow, whose zone has been evacuated since.
+        A reset would end such a flow, whose zone has been evacuated since, or whose
+        repeated packet exceeds the limits of cold upstreams.
         """
+        if any(map(self._directory.eligible_entries, services)):
+            if flow is not None:
+                return Discard(DiscardReason.WARMUP_LIMIT)
+            return Refuse(RefusalReason.OVERLOADED)
         if not any(map(self._directory.has_evacuated_upstreams, services)):
             return Refuse(RefusalReason.NO_UPSTREAM)
         entry = None if flow is None else self._directory.get(flow.upstream_id)
--- a/testbed/admissionworld.py
+++ b/testbed/admissionworld.py
@@ -176,6 +176,9 @@
     def share_restored(self, share):
         pass
 
+    def pace_changed(self, change):
+        pass
+
 
 class InformedEvidence(ZoneEvidence):
     """Also knows the silent upstreams that the detectors of all zones have found."""
@@ -269,6 +272,7 @@
             self.steering.recorder,
             self.steering.findings,
             NoShareObserver(),
+            config,
         )
         self.is_restarted = False
         self.refusals = 0
--- a/testbed/unevenworld.py
+++ b/testbed/unevenworld.py
@@ -14,6 +14,7 @@
 from wisteriatiller.ids import Address
 from wisteriatiller.steering.directory import UpstreamDirectory
 from wisteriatiller.steering.evidence import ShareObserver, ZoneEvidence
+from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.selection import UpstreamSelector
 from wisteriatiller.steering.steering import FlowSteering
 
@@ -147,6 +148,9 @@
     def share_restored(self, share):
         pass
 
+    def pace_changed(self, change):
+        pass
+
 
 class Placement(NamedTuple):
     """A new flow: the zones of its client and its upstream, as numbers."""
@@ -199,6 +203,7 @@
             self.host.recorder,
             self.host.findings,
             _NoObserver(),
+            ConfigView(),
         )
 
 
--- a/tests/steps/upstreamweights_steps.py
+++ b/tests/steps/upstreamweights_steps.py
@@ -21,6 +21,7 @@
     ZoneFindings,
 )
 from wisteriatiller.steering.packets import PacketKind
+from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.upstreams import upstream_tag
 
 REPORT_INTERVAL_S = 0.6
@@ -162,6 +163,7 @@
         UpstreamRecorder(uses_zone_findings),
         FindingsView(),
         NoOpShareObserver(),
+        ConfigView(),
     )
     for _ in range(round(10.0 / REPORT_INTERVAL_S)):
         zone.now_s += REPORT_INTERVAL_S
