Encode resets of flows without a packet of the client

Cause: a reset could only answer a packet, so that the open flows of an upstream that stopped responding waited until the client's deadline. Change: the codec encodes a reset from a flow's key and a sequence number; the flow table lists the flows of some upstreams; a decision can carry the evidence that an upstream is silent. Nothing uses them yet.

--- a/src/wisteriatiller/platform/packets.py
+++ b/src/wisteriatiller/platform/packets.py
@@ -24,6 +24,8 @@
 _ACK = 16
 _FIN = 2
 _RST = 64
+# src, sport, dst, dport of a client's packet
+_FLOW_KEY = struct.Struct(">IHIH")
 _UPSTREAM_ID = struct.Struct(">Q")
 
 
@@ -81,8 +83,14 @@
         # In an opening packet "ack" is no acknowledgement; clients then accept any
         # sequence number.
         seq = 0 if flags & _SYN else ack
+        return self._encode_reset(src, sport, dst, dport, seq)
+
+    def encode_flow_reset(self, flow, sequence):
+        return self._encode_reset(*_FLOW_KEY.unpack(flow), sequence)
+
+    def _encode_reset(self, src, sport, dst, dport, seq):
         header = _HEADER.pack(0, dst, dport, src, sport, 0, seq, 0, _RST, 0, 0)
-        client_ip = ".".join(map(str, data[4:8]))
+        client_ip = ".".join(map(str, src.to_bytes(4, "big")))
         return header, Address(client_ip, self._return_port)
 
 
--- a/src/wisteriatiller/steering/flowtable.py
+++ b/src/wisteriatiller/steering/flowtable.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Collection
 from enum import Enum
 
 from wisteriatiller.ids import FlowKey, UpstreamId
@@ -104,6 +105,16 @@
             self._flows.move_to_end(key)
         return flow
 
+    def peek(self, key: FlowKey) -> Flow | None:
+        """Return a flow, if it is known, without a change of its order or age."""
+        return self._flows.get(key)
+
+    def flows_of(self, upstream_ids: Collection[UpstreamId]) -> list[Flow]:
+        """The flows of some upstreams; looks at every flow of the table."""
+        return [
+            flow for flow in self._flows.values() if flow.upstream_id in upstream_ids
+        ]
+
     def add(self, key: FlowKey, upstream_id: UpstreamId, now_s: float) -> Flow:
         self.remove(key)
         flow = Flow(key, upstream_id, now_s)
--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -95,11 +95,43 @@
     silent_s: float
 
 
+class SilenceEvidence(NamedTuple):
+    """Why a flow of a listed upstream is reset: its zone has found it silent.
+
+    ``silent_s`` is the time since any host of its zone has seen progress of it, and
+    ``own_silent_s`` the time since this host has. ``pending_s`` is how long a request
+    of the flow has waited; None if none does.
+    """
+
+    upstream_id: UpstreamId
+    started_ms: int
+    silent_s: float
+    own_silent_s: float
+    pending_s: float | None
+
+
 class Refuse(NamedTuple):
     """Send a reset to the client; ``evidence`` says why a flow is lost."""
 
     reason: RefusalReason
-    evidence: LossEvidence | None = None
+    evidence: LossEvidence | SilenceEvidence | None = None
+
+
+class FlowReset(NamedTuple):
+    """A reset that no packet of the client has called for.
+
+    ``sequence`` is the client's last acknowledgement, near which its sequence number
+    has to be.
+    """
+
+    flow: FlowKey
+    sequence: int
+    evidence: SilenceEvidence
+
+
+def service_address_of(flow: FlowKey) -> ServiceAddress:
+    """The address that the client of a flow sends to."""
+    return ServiceAddress(flow[6:12])
 
 
 class Discard(NamedTuple):
--- a/src/wisteriatiller/steering/ports.py
+++ b/src/wisteriatiller/steering/ports.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from wisteriatiller.ids import Address, Revision, StorePosition
+from wisteriatiller.ids import Address, FlowKey, Revision, StorePosition
 
 from .packets import Packet
 from .routes import RouteConfig
@@ -110,3 +110,10 @@
     @abstractmethod
     def encode_reset(self, data: bytes) -> tuple[bytes, Address]:
         """Return the datagram that resets a client's flow, and its destination."""
+
+    @abstractmethod
+    def encode_flow_reset(self, flow: FlowKey, sequence: int) -> tuple[bytes, Address]:
+        """Return the datagram that resets an open flow, and its destination.
+
+        ``sequence`` is the client's last acknowledgement.
+        """
