Reset flows of upstreams that a zone has found silent

Cause: when an upstream vanishes with open flows, requests on them wait until their deadline, although the hosts of its zone together know within seconds. Change: the zone's reader judges its upstreams (SilentUpstreamDetector) by the five conditions of docs/hard-load.md and three more: opening packets failed too or much more is unanswered, every host has reported half a second without progress, and an upstream that outlived silent flows before needs 3 s. Its findings name the upstream's lifetime, the time of silence and the host of the zone that may try it in this second. Hosts reset idle flows and those with a pending idempotent request, 200 in each step of 100 ms, refuse new requests there, place no new flows but the one trial, and report nothing after a pause until they have read the waiting packets. A request whose client no longer repeats it is not reported as silent. The detector runs ten times a second. The fakes of the observers get the new methods; no check of an existing test is changed.

--- a/src/wisteriatiller/steering/datapath.py
+++ b/src/wisteriatiller/steering/datapath.py
@@ -1,12 +1,13 @@
 """The data path: reads client packets from a socket and carries out decisions."""
 
 import socket
+from collections.abc import Iterable
 
 from wisteriatiller.ids import Address
 from wisteriatiller.network import PAUSE_THRESHOLD_S, EventLoop
 from wisteriatiller.telemetry import Counters
 
-from .packets import Forward, Refuse
+from .packets import FlowReset, Forward, Refuse
 from .ports import PacketCodec
 from .steering import FlowSteering
 
@@ -47,6 +48,8 @@
         self.address = Address(*self._socket.getsockname())
         self._is_open = True
         self._is_suspended = True
+        # Whether packets from a time of suspension may still be in the socket buffer.
+        self.is_behind = False
 
     def start(self) -> None:
         """Start or resume reading, beginning with the packets in the socket buffer."""
@@ -56,9 +59,15 @@
 
     def suspend(self) -> None:
         """Leave packets in the socket buffer until ``start``."""
-        self._is_suspended = True
+        self._steering.recorder.suspend()
+        self._is_suspended = self.is_behind = True
         self._loop.watch(self._socket, None)
 
+    def send_resets(self, resets: Iterable[FlowReset]) -> None:
+        """Reset flows that no packet has called for."""
+        for reset in resets:
+            self._send(*self._codec.encode_flow_reset(reset.flow, reset.sequence))
+
     def close(self) -> None:
         """Steer the packets in the socket buffer, then close the socket."""
         self._is_open = False
@@ -70,8 +79,9 @@
 
     def _on_readable(self) -> None:
         # The loop may have found the socket readable before reading was suspended.
-        if not self._is_suspended:
-            self._steer_batch()
+        if not self._is_suspended and not self._steer_batch() and self.is_behind:
+            self.is_behind = False
+            self._steering.recorder.resume()
 
     def _steer_batch(self) -> bool:
         """Steer one batch of packets; return whether more may be waiting."""
--- a/src/wisteriatiller/steering/evidence/__init__.py
+++ b/src/wisteriatiller/steering/evidence/__init__.py
@@ -5,6 +5,7 @@
     NO_FINDINGS,
     FindingsView,
     ServiceLoad,
+    SilentUpstream,
     ZoneFindings,
 )
 from .flowloss import FlowLossDetector
@@ -17,6 +18,13 @@
     UpstreamRecorder,
     UpstreamReport,
 )
+from .silentupstreams import (
+    EndReason,
+    Silence,
+    SilenceObserver,
+    SilentUpstreamDetector,
+)
+from .silentverdicts import SilentVerdicts
 from .slowupstreams import Share, SlowUpstreamDetector
 from .zoneevidence import ShareObserver, ZoneEvidence
 from .zoneloads import ZoneLoads
@@ -27,6 +35,7 @@
     "NO_COUNTS",
     "NO_FINDINGS",
     "NO_PROGRESS_MS",
+    "EndReason",
     "FindingsView",
     "FlowLossDetector",
     "HealthState",
@@ -35,6 +44,11 @@
     "ServiceLoad",
     "Share",
     "ShareObserver",
+    "Silence",
+    "SilenceObserver",
+    "SilentUpstream",
+    "SilentUpstreamDetector",
+    "SilentVerdicts",
     "SlowUpstreamDetector",
     "UpstreamHealth",
     "UpstreamRecorder",
--- a/src/wisteriatiller/steering/evidence/findings.py
+++ b/src/wisteriatiller/steering/evidence/findings.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from wisteriatiller.ids import ServiceId, ZoneId
+from wisteriatiller.ids import Address, ServiceId, ZoneId
 
 from ..upstreams import Tag
 
@@ -35,16 +35,33 @@
     age_s: float = 0.0
 
 
+class SilentUpstream(NamedTuple):
+    """A silent upstream in the lifetime that began at ``started_ms``.
+
+    ``silent_ms`` is how long it had answered nobody when the findings were computed.
+    ``trial_host`` may send it one new flow; with each ``trial_number`` it is chosen
+    anew. It is None if no host is to try.
+    """
+
+    tag: Tag
+    started_ms: int
+    silent_ms: int
+    trial_host: Address | None
+    trial_number: int
+
+
 class ZoneFindings(NamedTuple):
     """Shares of new flows, silent upstreams and loads, as a reader hands them out.
 
     ``shares`` holds the fractions of the upstreams that get less than their usual share
-    of new flows, ``silent`` the tags of those that answer nobody.
+    of new flows, ``silent`` the tags of those that answer nobody, and
+    ``silent_upstreams`` what else is known of the latter.
     """
 
     shares: Mapping[Tag, float] = {}
     silent: frozenset[Tag] = frozenset()
     loads: tuple[ServiceLoad, ...] = ()
+    silent_upstreams: tuple[SilentUpstream, ...] = ()
 
 
 NO_FINDINGS = ZoneFindings()
@@ -74,6 +91,17 @@
         """Whether the upstream answers nobody in its zone."""
         return tag in self.current(now_s).silent
 
+    def silent_upstream(self, tag: Tag, now_s: float) -> SilentUpstream | None:
+        """What is known of a silent upstream, with its present ``silent_ms``."""
+        findings = self.current(now_s)
+        if tag not in findings.silent:
+            return None
+        since_ms = round(1000.0 * (now_s - self._set_at_s))
+        for silent in findings.silent_upstreams:
+            if silent.tag == tag:
+                return silent._replace(silent_ms=silent.silent_ms + since_ms)
+        return None
+
     def loads(self, now_s: float) -> tuple[ServiceLoad, ...]:
         """The loads that are recent enough, with their present ages."""
         since_s = now_s - self._set_at_s
--- a/src/wisteriatiller/steering/evidence/reports.py
+++ b/src/wisteriatiller/steering/evidence/reports.py
@@ -26,6 +26,9 @@
 MAX_PENDING_S = 10.0
 # A client that has repeated its data twice has waited for more than half a second.
 SILENT_REPEATS = 2
+# Clients double the interval between repeats: the second comes 0.6 s after the request
+# and the third 0.8 s later. One that is overdue has given up without a packet.
+MAX_REPEAT_INTERVAL_FACTOR = 1.5
 
 
 class UpstreamReport(NamedTuple):
@@ -34,8 +37,8 @@
     ``counts`` is the histogram of response times since the last report.
     ``in_flight`` is the number of requests without an answer at present, and
     ``silent_flows`` that of the flows whose client has repeated such a request
-    ``SILENT_REPEATS`` times. ``progress_age_ms`` is the time since any flow of the
-    upstream has progressed, or ``NO_PROGRESS_MS``. ``openings`` is the number of
+    ``SILENT_REPEATS`` times and goes on. ``progress_age_ms`` is the time since any flow
+    of the upstream has progressed, or ``NO_PROGRESS_MS``. ``openings`` is the number of
     opening packets that were forwarded since the last report, and ``failed_openings``
     of those that the client did not follow up.
     """
@@ -89,6 +92,14 @@
         self._reports_activity = reports_activity
         self._activities: dict[UpstreamId, _Activity] = {}
         self._pending: dict[int, Flow] = {}
+        self._is_suspended = False
+
+    def suspend(self) -> None:
+        """Report nothing until ``resume``, since answers may not have been read."""
+        self._is_suspended = self._reports_activity
+
+    def resume(self) -> None:
+        self._is_suspended = False
 
     def record_answer(self, upstream_id: UpstreamId, waited_s: float) -> None:
         self._count(upstream_id, bucket_index(waited_s))
@@ -121,15 +132,15 @@
         """Return what was seen, and reset the counts; a lost report is not repeated."""
         if not self._reports_activity:
             return self._take_response_times()
+        if self._is_suspended:
+            return ()
         reports = self._reports_of_activity(now_s)
         for upstream_id, flows in self._pending_by_upstream(now_s).items():
             tag = upstream_tag(upstream_id)
             report = reports.get(tag) or UpstreamReport(tag)
             reports[tag] = report._replace(
                 in_flight=len(flows),
-                silent_flows=sum(
-                    flow.stalled_repeats >= SILENT_REPEATS for flow in flows
-                ),
+                silent_flows=sum(_is_repeating(flow, now_s) for flow in flows),
             )
         return _most_important(reports.values())
 
@@ -187,6 +198,19 @@
         return found
 
 
+def _progress_age_ms(report: UpstreamReport) -> int:
+    has_progress = report.progress_age_ms != NO_PROGRESS_MS
+    return report.progress_age_ms if has_progress else MAX_PROGRESS_AGE_MS
+
+
+def _is_repeating(flow: Flow, now_s: float) -> bool:
+    """Whether the client still repeats a request: its next packet is not overdue."""
+    repeated_after_s = flow.last_seen_s - flow.asked_at_s
+    since_s = now_s - flow.last_seen_s
+    is_due = since_s > MAX_REPEAT_INTERVAL_FACTOR * repeated_after_s
+    return flow.stalled_repeats >= SILENT_REPEATS and not is_due
+
+
 def _most_important(reports: Iterable[UpstreamReport]) -> HostReport:
     """Limit a report to the upstreams that show the most trouble, then activity."""
     ranked = sorted(
@@ -196,6 +220,7 @@
             -report.failed_openings,
             -report.in_flight,
             -report.openings,
+            _progress_age_ms(report),
             report.tag,
         ),
     )
--- a/src/wisteriatiller/steering/evidence/zoneevidence.py
+++ b/src/wisteriatiller/steering/evidence/zoneevidence.py
@@ -1,6 +1,6 @@
 """A host's part in what the hosts of a zone find out together."""
 
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from collections.abc import Mapping
 
 from wisteriatiller.ids import Address, ZoneId
@@ -8,17 +8,24 @@
 from ..directory import UpstreamDirectory
 from ..settings import SteeringSettings
 from ..upstreams import Tag
-from .findings import FINDINGS_TTL_S, FindingsView, ZoneFindings
+from .findings import FINDINGS_TTL_S, FindingsView, SilentUpstream, ZoneFindings
 from .reports import HostReport, UpstreamRecorder
+from .silentupstreams import (
+    PROGRESS_TOLERANCE_S,
+    SilenceObserver,
+    SilentUpstreamDetector,
+)
 from .slowupstreams import Share, SlowUpstreamDetector
 from .zoneloads import ZoneLoads
 
 # Reports arrive several times a second, and the findings need not change that often.
 RECOMPUTE_INTERVAL_S = 0.3
+# Silent upstreams cost requests for as long as they are not known.
+SILENCE_INTERVAL_S = 0.1
 
 
-class ShareObserver(ABC):
-    """Is notified when the share of a slow upstream is lowered or restored."""
+class ShareObserver(SilenceObserver):
+    """Is also notified when the share of a slow upstream is lowered or restored."""
 
     @abstractmethod
     def share_lowered(self, share: Share) -> None: ...
@@ -50,14 +57,17 @@
         self._findings = findings
         self._observer = observer
         self._slow = SlowUpstreamDetector(directory)
+        self._silences = SilentUpstreamDetector(settings.zone, directory, observer)
         self._loads = ZoneLoads(settings.zone, directory)
         self._lowered: Mapping[Tag, Share] = {}
         self._computed = ZoneFindings()
-        self._computed_at_s = float("-inf")
+        self._computed_at_s = self._judged_at_s = float("-inf")
         # When this host last applied the findings of another one.
         self._followed_at_s = float("-inf")
         # The silent upstreams of each other zone, by its own reader, and when told.
-        self._silent_elsewhere: dict[ZoneId, tuple[float, frozenset[Tag]]] = {}
+        self._silent_elsewhere: dict[
+            ZoneId, tuple[float, tuple[SilentUpstream, ...]]
+        ] = {}
 
     def take_report(self, now_s: float) -> HostReport:
         """What this host has seen since its last report, for its reader."""
@@ -68,14 +78,19 @@
         self._slow.add_report(host, report, now_s)
         if self._settings.uses_zone_findings:
             self._loads.add_report(host, report, now_s)
+            self._silences.add_report(host, report, now_s)
 
     def set_foreign_findings(
         self, zone: ZoneId, findings: ZoneFindings, now_s: float
     ) -> None:
         """Take over what the hosts of another zone have found out of their own zone."""
         self._loads.set_foreign(zone, findings.loads, now_s)
-        silent = frozenset(tag for tag in findings.silent if self._zone_of(tag) == zone)
-        self._silent_elsewhere[zone] = (now_s, silent)
+        own = tuple(
+            silent
+            for silent in findings.silent_upstreams
+            if self._zone_of(silent.tag) == zone
+        )
+        self._silent_elsewhere[zone] = (now_s, own)
 
     def update_findings(self, now_s: float) -> ZoneFindings:
         """Compute the findings from the reports of the zone.
@@ -84,7 +99,7 @@
         which it has reported, a short time ago.
         """
         if now_s - self._computed_at_s < RECOMPUTE_INTERVAL_S:
-            return self._computed
+            return self._with_newer_silences(now_s)
         self._computed_at_s = now_s
         is_following = now_s - self._followed_at_s < FINDINGS_TTL_S
         if not is_following:
@@ -108,17 +123,48 @@
         shares = {share.tag: share.fraction for share in lowered.values()}
         if not self._settings.uses_zone_findings:
             return ZoneFindings(shares)
-        return ZoneFindings(
-            shares, self._silent_in_other_zones(now_s), self._loads.rows(now_s)
+        return self._with_silences(
+            ZoneFindings(shares, loads=self._loads.rows(now_s)), now_s
         )
 
-    def _silent_in_other_zones(self, now_s: float) -> frozenset[Tag]:
-        recent = (
-            silent
-            for told_at_s, silent in self._silent_elsewhere.values()
+    def _with_newer_silences(self, now_s: float) -> ZoneFindings:
+        """The computed findings, with silent upstreams that are judged more often."""
+        is_due = now_s - self._judged_at_s >= SILENCE_INTERVAL_S
+        if is_due and self._settings.uses_zone_findings:
+            self._computed = self._with_silences(self._computed, now_s)
+        return self._computed
+
+    def _with_silences(self, findings: ZoneFindings, now_s: float) -> ZoneFindings:
+        self._judged_at_s = now_s
+        self._silences.update(now_s)
+        silent = (
+            *self._silences.silent_upstreams(now_s),
+            *self._silent_in_other_zones(now_s),
+        )
+        return findings._replace(
+            silent=frozenset(upstream.tag for upstream in silent),
+            silent_upstreams=silent,
+        )
+
+    def _silent_in_other_zones(self, now_s: float) -> tuple[SilentUpstream, ...]:
+        """The silent upstreams of other zones, but for those that answer this one."""
+        aged = (
+            silent._replace(
+                silent_ms=silent.silent_ms + round(1000.0 * (now_s - told_at_s))
+            )
+            for told_at_s, upstreams in self._silent_elsewhere.values()
+            for silent in upstreams
             if now_s - told_at_s <= FINDINGS_TTL_S
         )
-        return frozenset().union(*recent)
+        return tuple(
+            silent for silent in aged if not self._has_answered_since(silent, now_s)
+        )
+
+    def _has_answered_since(self, silent: SilentUpstream, now_s: float) -> bool:
+        """Whether a host of this zone has seen progress of it in its silence."""
+        silent_since_s = now_s - silent.silent_ms / 1000.0
+        progress_at_s = self._silences.progress_at_s(silent.tag)
+        return progress_at_s > silent_since_s + PROGRESS_TOLERANCE_S
 
     def _zone_of(self, tag: Tag) -> ZoneId | None:
         entry = self._directory.by_tag(tag)
--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -31,6 +31,9 @@
 STATUS_PATH = "/status"
 METRICS_PATH = "/metrics"
 FLOW_EXPIRY_INTERVAL_S = 1.0
+# How often flows of silent upstreams are reset. Each step is limited, so that the
+# packets of a host with a thin link do not wait behind thousands of resets.
+FLOW_RESET_INTERVAL_S = 0.1
 # Limits the wait for current state at the start or after a pause. Clients retransmit
 # packets that wait longer anyway.
 MAX_SUSPEND_S = 0.4
@@ -154,6 +157,8 @@
         self._add_seeds(self.settings)
         self.sharing.start()
         self._expire_flows()
+        if self.settings.uses_zone_findings:
+            self._reset_silent_flows()
         self._loop.call_later(MAX_SUSPEND_S, self._end_startup_wait)
 
     def stop(self, done: Callable[[], None]) -> None:
@@ -248,6 +253,12 @@
         self.steering.flows.expire(now_s)
         self._loop.call_later(FLOW_EXPIRY_INTERVAL_S, self._expire_flows)
 
+    def _reset_silent_flows(self) -> None:
+        """Reset flows of silent upstreams, unless waiting packets may show progress."""
+        if not self.data_path.is_behind:
+            self.data_path.send_resets(self.steering.take_resets(self._loop.now_s()))
+        self._loop.call_later(FLOW_RESET_INTERVAL_S, self._reset_silent_flows)
+
     def _start_servers(self) -> list[HttpServer]:
         settings = self.settings
         servers = [
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -4,9 +4,18 @@
 from wisteriatiller.telemetry import Counters, EventLog
 
 from .directory import DirectoryEntry, UpstreamChange, UpstreamDirectory
-from .evidence import Share, ShareObserver
+from .evidence import EndReason, Share, ShareObserver, Silence
 from .flowtable import Flow
-from .packets import Discard, LossEvidence, Packet, Refuse, format_flow
+from .packets import (
+    Discard,
+    FlowReset,
+    LossEvidence,
+    Packet,
+    RefusalReason,
+    Refuse,
+    SilenceEvidence,
+    format_flow,
+)
 from .ports import ConfigInvalid, StoreFailure
 from .routes import ConfigVersion, ConfigView, Route
 from .sharing import Source
@@ -83,6 +92,8 @@
 
     def packet_refused(self, packet: Packet, refusal: Refuse) -> None:
         self._counters.count("packets_refused", refusal.reason.value)
+        if refusal.reason is RefusalReason.UPSTREAM_SILENT:
+            self._counters.count("flows_reset_silent", "on_request")
         evidence = {}
         if refusal.evidence is not None:
             evidence = _evidence_fields(refusal.evidence)
@@ -90,6 +101,17 @@
             "flow_refused", packet, refusal.reason.value, **evidence
         )
 
+    def flow_reset(self, reset: FlowReset) -> None:
+        self._counters.count("flows_reset_silent", "unasked")
+        self._log.flow_event(
+            "flow_refused",
+            flow=format_flow(reset.flow),
+            reason=RefusalReason.UPSTREAM_SILENT.value,
+            kind="unasked",
+            **_evidence_fields(reset.evidence),
+            **self._state_fields(),
+        )
+
     def packet_discarded(self, packet: Packet, discard: Discard) -> None:
         self._counters.count("packets_discarded", discard.reason.value)
         self._log_dropped_packet("packet_discarded", packet, discard.reason.value)
@@ -110,6 +132,16 @@
         self._counters.count("shares_restored")
         self._log_share("upstream_share_restored", share)
 
+    def upstream_silent(self, silence: Silence) -> None:
+        self._counters.count("upstreams_silent")
+        self._log_silence("upstream_silent", silence, silence.decided_at_s)
+
+    def upstream_answers_again(
+        self, silence: Silence, reason: EndReason, now_s: float
+    ) -> None:
+        self._counters.count("silences_ended", reason.value)
+        self._log_silence("upstream_answers_again", silence, now_s, reason=reason.value)
+
     def unknown_tag_received(self) -> None:
         self.on_unknown_tag()
 
@@ -244,6 +276,22 @@
             **self._state_fields(),
         )
 
+    def _log_silence(
+        self, event: str, silence: Silence, now_s: float, **fields: object
+    ) -> None:
+        self._log.event(
+            event,
+            upstream=silence.upstream_id,
+            service=silence.service,
+            started_ms=silence.started_ms,
+            hosts=silence.hosts,
+            flows=silence.flows,
+            failed_openings=silence.failed_openings,
+            silent_ms=_to_ms(now_s - silence.quiet_since_s),
+            **fields,
+            **self._state_fields(),
+        )
+
     def _log_dropped_packet(
         self, event: str, packet: Packet, reason: str, **fields: object
     ) -> None:
@@ -269,7 +317,9 @@
         }
 
 
-def _evidence_fields(evidence: LossEvidence) -> dict[str, object]:
+def _evidence_fields(evidence: LossEvidence | SilenceEvidence) -> dict[str, object]:
+    if isinstance(evidence, SilenceEvidence):
+        return _silence_fields(evidence)
     is_ever_heard = evidence.silent_s < float("inf")
     return {
         "upstream": evidence.upstream_id,
@@ -280,5 +330,18 @@
     }
 
 
+def _silence_fields(evidence: SilenceEvidence) -> dict[str, object]:
+    own_silent_s = evidence.own_silent_s
+    return {
+        "upstream": evidence.upstream_id,
+        "started_ms": evidence.started_ms,
+        "silent_ms": _to_ms(evidence.silent_s),
+        "own_silent_ms": _to_ms(own_silent_s if own_silent_s < float("inf") else None),
+        "pending_ms": "none"
+        if evidence.pending_s is None
+        else _to_ms(evidence.pending_s),
+    }
+
+
 def _to_ms(age_s: float | None) -> int | str:
     return "never" if age_s is None else round(1000.0 * age_s)
--- a/src/wisteriatiller/steering/selection/selector.py
+++ b/src/wisteriatiller/steering/selection/selector.py
@@ -13,12 +13,13 @@
 from wisteriatiller.ids import FlowKey, UpstreamId
 
 from ..directory import DirectoryEntry
-from ..evidence import FindingsView, HealthState, OutlierDetector
+from ..evidence import FindingsView, HealthState, OutlierDetector, SilentVerdicts
 from ..flowtable import FlowTable
 from ..routes import ConfigView
 from ..settings import SteeringSettings
 from .bursts import BurstDetector
 from .candidates import EntriesByZone, hash_fraction, sample_candidates
+from .silenttrials import SilentTrials
 from .slowstart import SlowStart
 from .trials import TrialPolicy
 
@@ -26,12 +27,14 @@
 class Selection(NamedTuple):
     """The selected entry, and the number of entries that were compared.
 
-    ``is_trial`` marks a suspect that is tried with this flow.
+    ``is_trial`` marks a suspect that is tried with this flow, and ``is_silent_trial``
+    an upstream that the zone has found silent.
     """
 
     entry: DirectoryEntry
     candidate_count: int
     is_trial: bool
+    is_silent_trial: bool = False
 
 
 class UpstreamSelector(ABC):
@@ -75,6 +78,7 @@
         self._entries = EntriesByZone(settings.zone)
         self._bursts = BurstDetector()
         self._trials = TrialPolicy(settings.zone, outliers)
+        self._silent_trials = SilentTrials(settings, SilentVerdicts(findings, outliers))
         self._slow_start = SlowStart(outliers, findings)
 
     def select(
@@ -93,11 +97,15 @@
             *sample_candidates(service_entries.local, flow),
             *sample_candidates(service_entries.remote, flow),
         ]
+        silent_trial = self._silent_trials.pick(sampled, excluded, now_s)
+        sampled = self._silent_trials.filter(sampled, now_s)
         untried = [
             entry for entry in sampled if entry.upstream.upstream_id not in excluded
         ]
         pool = untried or sampled
         is_burst = self._bursts.count_and_detect(service_entries, now_s)
+        if silent_trial is not None:
+            return Selection(silent_trial, len(pool), False, is_silent_trial=True)
         trial = self._trials.pick(pool, excluded, is_burst, now_s)
         if trial is not None:
             return Selection(trial, len(pool), True)
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -26,6 +26,7 @@
     NO_PROGRESS_MS,
     HostReport,
     ServiceLoad,
+    SilentUpstream,
     UpstreamReport,
     ZoneFindings,
 )
@@ -276,17 +277,39 @@
         list(findings.shares.items()),
         list(findings.silent),
         [list(load) for load in findings.loads],
+        [list(silent) for silent in findings.silent_upstreams],
     ]
 
 
-def _decode_findings(shares: list, silent: list, loads: list) -> ZoneFindings:
+def _decode_findings(
+    shares: list, silent: list, loads: list, silent_upstreams: list
+) -> ZoneFindings:
     return ZoneFindings(
         shares={Tag(int(tag)): _decode_fraction(part) for tag, part in shares},
         silent=frozenset(Tag(int(tag)) for tag in silent),
         loads=tuple(_decode_load(*load) for load in loads),
+        silent_upstreams=tuple(
+            _decode_silent_upstream(*fields) for fields in silent_upstreams
+        ),
     )
 
 
+def _decode_silent_upstream(
+    tag, started_ms, silent_ms, trial_host, trial_number
+) -> SilentUpstream:
+    return SilentUpstream(
+        tag=Tag(int(tag)),
+        started_ms=int(started_ms),
+        silent_ms=max(0, int(silent_ms)),
+        trial_host=None if trial_host is None else _decode_address(*trial_host),
+        trial_number=int(trial_number),
+    )
+
+
+def _decode_address(ip, port) -> Address:
+    return Address(str(ip), int(port))
+
+
 def _decode_load(
     reporting_zone, service, upstream_zone, in_flight, answers, openings, age_s
 ) -> ServiceLoad:
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -11,12 +11,20 @@
 from wisteriatiller.ids import UpstreamId
 
 from .directory import DirectoryEntry, Presence, UpstreamChange, UpstreamDirectory
-from .evidence import FindingsView, FlowLossDetector, OutlierDetector, UpstreamRecorder
+from .evidence import (
+    FindingsView,
+    FlowLossDetector,
+    OutlierDetector,
+    SilentVerdicts,
+    UpstreamRecorder,
+)
+from .flowresets import FlowResets
 from .flowtable import Flow, FlowState, FlowTable, is_sequence_after
 from .packets import (
     Decision,
     Discard,
     DiscardReason,
+    FlowReset,
     Forward,
     Packet,
     PacketKind,
@@ -24,7 +32,7 @@
     Refuse,
 )
 from .routes import ConfigView, Route
-from .selection import LeastFlowsSelector, UpstreamSelector
+from .selection import LeastFlowsSelector, Selection, UpstreamSelector
 from .settings import SteeringSettings
 from .upstreams import NO_TAG
 
@@ -55,6 +63,10 @@
     @abstractmethod
     def packet_refused(self, packet: Packet, refusal: Refuse) -> None: ...
 
+    @abstractmethod
+    def flow_reset(self, reset: FlowReset) -> None:
+        """Called for a reset that no packet of the client has called for."""
+
     @abstractmethod
     def packet_discarded(self, packet: Packet, discard: Discard) -> None: ...
 
@@ -92,6 +104,13 @@
         self.findings = FindingsView()
         self.flows = FlowTable(settings.flow_idle_s)
         self._losses = FlowLossDetector(self.flows, self.outliers)
+        self._resets = FlowResets(
+            self.flows,
+            directory,
+            config,
+            SilentVerdicts(self.findings, self.outliers),
+            self.outliers,
+        )
         self._unconfirmed_openings: deque[Flow] = deque()
         self._unanswered_requests: deque[tuple[Flow, float]] = deque()
         self.selector: UpstreamSelector = LeastFlowsSelector(
@@ -112,6 +131,16 @@
             self._observer.packet_discarded(packet, decision)
         return decision
 
+    def take_resets(self, now_s: float) -> list[FlowReset]:
+        """Return the next resets of flows of silent upstreams, which have to be sent.
+
+        Called at intervals, since the number of resets at once is limited.
+        """
+        resets = self._resets.take_due(now_s)
+        for reset in resets:
+            self._observer.flow_reset(reset)
+        return resets
+
     def apply_directory_changes(self, changes: list[UpstreamChange]) -> None:
         """Discard the health of upstreams that are gone."""
         for change in changes:
@@ -218,13 +247,7 @@
         flow.sent_at_s = now_s
         self._unconfirmed_openings.append(flow)
         self.recorder.record_opening(upstream_id)
-        reason = (
-            "trial"
-            if selection.is_trial
-            else "copy"
-            if packet.retransmit_count
-            else "first"
-        )
+        reason = _placement_reason(selection, packet)
         self._observer.flow_placed(packet, route, selection.entry, reason)
         return Forward(selection.entry.upstream, selection.entry.tag)
 
@@ -242,6 +265,9 @@
         if entry is None:
             self._observer.unknown_tag_received()
             return Discard(DiscardReason.UNKNOWN_TAG)
+        silence = self._resets.evidence_to_refuse(packet, entry, now_s)
+        if silence is not None:
+            return Refuse(RefusalReason.UPSTREAM_SILENT, silence)
         self._update_flow(packet, entry, now_s)
         evidence = self._losses.evidence_against(packet, entry, now_s)
         if evidence is not None:
@@ -354,3 +380,12 @@
             self._observer.upstream_suspected(
                 flow.upstream_id, health.retransmitting_flows()
             )
+
+
+def _placement_reason(selection: Selection, packet: Packet) -> str:
+    """Why an opening packet is sent to an upstream, for logs and counters."""
+    if selection.is_silent_trial:
+        return "silent_trial"
+    if selection.is_trial:
+        return "trial"
+    return "copy" if packet.retransmit_count else "first"
--- a/testbed/flowworld.py
+++ b/testbed/flowworld.py
@@ -92,6 +92,9 @@
     def packet_refused(self, packet, refusal):
         pass
 
+    def flow_reset(self, reset):
+        pass
+
     def packet_discarded(self, packet, discard):
         pass
 
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -61,7 +61,13 @@
 
 
 class NoOpShareObserver(ShareObserver):
-    """Ignores changes of shares."""
+    """Ignores changes of shares and silent upstreams."""
+
+    def upstream_silent(self, silence):
+        pass
+
+    def upstream_answers_again(self, silence, reason, now_s):
+        pass
 
     def share_lowered(self, share):
         pass
--- a/tests/steeringharness.py
+++ b/tests/steeringharness.py
@@ -38,6 +38,9 @@
     def packet_refused(self, packet, refusal):
         self.events.append(("refused", refusal.reason))
 
+    def flow_reset(self, reset):
+        self.events.append(("flow_reset", reset.flow))
+
     def packet_discarded(self, packet, discard):
         self.events.append(("discarded", discard.reason))
 
