--- a/tests/silentupstreams.feature
+++ b/tests/silentupstreams.feature
@@ -141,6 +141,11 @@
     And 0.7 seconds pass in which the same reports arrive
     Then the detector calls nothing silent
 
+  Scenario: An upstream of another zone is not judged
+    # The zones are cut off from each other, and the upstream serves its own zone.
+    Given a detector of another zone with all evidence against upstream 1
+    Then the detector calls nothing silent
+
   Scenario: Another zone that gets answers does not act on the verdict
     # An upstream is cut off from its own zone only.
     When the reader of another zone is told that upstream 1 is silent
@@ -238,6 +243,22 @@
     When findings with a silent upstream are encoded and decoded
     Then they are equal
 
+  Scenario: The log leads from a reset flow to the evidence
+    # Whoever asks why a flow was reset has its id only.
+    Given a reporter that is told of a verdict, a reset, a refusal and the verdict's end
+    Then the lines of the reset and the refusal name the upstream and its lifetime
+    And the line of the verdict with the same upstream and lifetime has the evidence
+    And the line of its end has reason progress
+    And the counters hold 2 flows_reset_silent
+
+  Scenario: A host sends its resets, but none while packets wait in its socket
+    # Packets that wait after a pause may show progress.
+    Given a data path on a loopback socket, and a flow of a silent upstream
+    When the data path sends the resets
+    Then the client receives the reset of its flow
+    When the data path is suspended and a packet arrives
+    Then its host reports nothing until the packet is read
+
   Scenario: A reset without a packet has the published form
     # The client ignores a reset whose numbers or addresses are wrong.
     When the reset of flow 100.64.0.7:40001>198.18.0.1:443 at 4294967295 is encoded
--- a/tests/steps/flowresets_steps.py
+++ b/tests/steps/flowresets_steps.py
@@ -9,7 +9,8 @@
     flow_key,
     opening_packet,
 )
-from wisteriatiller.ids import Address, Revision, ServiceId, StorePosition
+from wisteriatiller.ids import Address, FlowKey, Revision, ServiceId, StorePosition
+from wisteriatiller.network import EventLoop
 from wisteriatiller.platform.packets import FlowPacketCodec
 from wisteriatiller.steering import (
     ConfigVersion,
@@ -22,14 +23,30 @@
     UpstreamState,
     WeightedService,
 )
-from wisteriatiller.steering.evidence import SilentUpstream, ZoneFindings
-from wisteriatiller.steering.packets import Forward, Refuse
+from wisteriatiller.steering.datapath import DataPath, bind_data_socket
+from wisteriatiller.steering.directory import UpstreamDirectory
+from wisteriatiller.steering.evidence import (
+    EndReason,
+    Silence,
+    SilentUpstream,
+    UpstreamRecorder,
+    ZoneFindings,
+)
+from wisteriatiller.steering.packets import (
+    FlowReset,
+    Forward,
+    Refuse,
+    SilenceEvidence,
+)
+from wisteriatiller.steering.reporting import Reporter
+from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.snapshots import (
     Snapshot,
     SnapshotEncoder,
     decode_snapshot,
 )
 from wisteriatiller.steering.upstreams import upstream_tag
+from wisteriatiller.telemetry import Counters, EventLog
 
 READS = ServiceAddress(bytes((198, 18, 0, 1, 1, 187)))
 ORDERS = ServiceAddress(bytes((198, 18, 0, 2, 1, 187)))
@@ -37,6 +54,8 @@
 OWN_HOST = Address("10.0.0.1", 8166)
 OTHER_HOST = Address("10.0.0.2", 8166)
 RETURN_PORT = 8172
+LOOPBACK_IP = "127.0.0.1"
+SOCKET_TIMEOUT_S = 2.0
 # Numbers of flows.
 IDLE_READ, IDLE_ORDER, PENDING_READ, PENDING_ORDER, OLD, FOREIGN = range(1, 7)
 
@@ -329,3 +348,146 @@
     )
     assert data == expected, data.hex()
     assert address == Address(ip, RETURN_PORT)
+
+
+class DataPathWithClient:
+    """A data path on a loopback socket, and a client's socket for resets."""
+
+    def __init__(self):
+        self.client = bind_data_socket(Address(LOOPBACK_IP, 0))
+        self.client.settimeout(SOCKET_TIMEOUT_S)
+        return_port = self.client.getsockname()[1]
+        self.loop = EventLoop()
+        self.steering = SteeringHarness(upstreams=[upstream("1")]).steering
+        self.steering.recorder = recorder_of_one_opening()
+        self.path = DataPath(
+            self.loop,
+            bind_data_socket(Address(LOOPBACK_IP, 0)),
+            FlowPacketCodec(return_port),
+            self.steering,
+            Counters(),
+        )
+        self.path.start()
+
+    def close(self):
+        self.path.close()
+        self.client.close()
+
+
+def recorder_of_one_opening():
+    recorder = UpstreamRecorder(True)
+    recorder.record_opening("i-1")
+    return recorder
+
+
+@given("a data path on a loopback socket, and a flow of a silent upstream")
+def given_data_path(context):
+    context.data = DataPathWithClient()
+    context.add_cleanup(context.data.close)
+
+
+@when("the data path sends the resets")
+def when_data_path_sends(context):
+    flow = FlowKey(bytes((127, 0, 0, 1, 0x9C, 0x41)) + READS)
+    context.data.path.send_resets([FlowReset(flow, 501, evidence=None)])
+
+
+@then("the client receives the reset of its flow")
+def then_client_receives(context):
+    data = context.data.client.recv(2000)
+    expected = bytes.fromhex("00000000 c6120001 01bb 7f000001 9c41 0000 000001f5")
+    assert data.startswith(expected), data.hex()
+
+
+@when("the data path is suspended and a packet arrives")
+def when_suspended_with_packet(context):
+    path = context.data.path
+    path.suspend()
+    context.data.client.sendto(b"malformed", path.address)
+
+
+@then("its host reports nothing until the packet is read")
+def then_reports_after_read(context):
+    data = context.data
+    assert data.path.is_behind
+    assert data.steering.recorder.take_report(0.0) == ()
+    data.path.start()
+    data.loop.run_once()
+    assert not data.path.is_behind
+    assert len(data.steering.recorder.take_report(0.0)) == 1
+
+
+class RecordingLog(EventLog):
+    """Keeps the fields of each event."""
+
+    def __init__(self):
+        self.lines = []
+
+    def event(self, name, **pairs):
+        self.lines.append({"event": name, **pairs})
+
+    def flow_event(self, name, **pairs):
+        self.event(name, **pairs)
+
+
+@given("a reporter that is told of a verdict, a reset, a refusal and the verdict's end")
+def given_reporter(context):
+    context.log, context.counters = RecordingLog(), Counters()
+    reporter = Reporter(
+        context.log, context.counters, ConfigView(), UpstreamDirectory(), lambda: 1002.0
+    )
+    silence = Silence(
+        tag=TAG,
+        upstream_id="i-1",
+        service=ServiceId("stock"),
+        started_ms=77,
+        quiet_since_s=1000.0,
+        decided_at_s=1001.2,
+        hosts=3,
+        flows=4,
+        failed_openings=5,
+    )
+    evidence = SilenceEvidence("i-1", 77, 1.6, float("inf"), None)
+    reporter.upstream_silent(silence)
+    reporter.flow_reset(FlowReset(flow_key(1), 501, evidence))
+    refusal = Refuse(RefusalReason.UPSTREAM_SILENT, evidence)
+    reporter.packet_refused(established_packet(2, TAG), refusal)
+    reporter.upstream_answers_again(silence, EndReason.PROGRESS, 1002.0)
+
+
+def lines_of(context, event):
+    return [line for line in context.log.lines if line["event"] == event]
+
+
+@then("the lines of the reset and the refusal name the upstream and its lifetime")
+def then_lines_name(context):
+    lines = lines_of(context, "flow_refused")
+    assert [line["kind"] for line in lines] == ["unasked", "established"], lines
+    for line in lines:
+        assert (line["upstream"], line["started_ms"]) == ("i-1", 77), line
+        assert line["reason"] == "upstream_silent", line
+        assert line["own_silent_ms"] == "never" and line["pending_ms"] == "none", line
+
+
+@then("the line of the verdict with the same upstream and lifetime has the evidence")
+def then_verdict_line(context):
+    (line,) = lines_of(context, "upstream_silent")
+    assert (line["upstream"], line["started_ms"]) == ("i-1", 77), line
+    assert (line["hosts"], line["flows"], line["silent_ms"]) == (3, 4, 1200), line
+
+
+@then("the line of its end has reason {reason}")
+def then_end_line(context, reason):
+    (line,) = lines_of(context, "upstream_answers_again")
+    assert line["reason"] == reason and line["silent_ms"] == 2000, line
+
+
+@then("the counters hold {count:d} flows_reset_silent")
+def then_counters(context, count):
+    text = context.counters.render()
+    values = [
+        int(line.rpartition(" ")[2])
+        for line in text.splitlines()
+        if "flows_reset_silent" in line
+    ]
+    assert sum(values) == count, text
--- a/tests/steps/silentupstreams_steps.py
+++ b/tests/steps/silentupstreams_steps.py
@@ -255,13 +255,13 @@
 class JudgedUpstream:
     """A detector with upstreams 1 to 4, and reports of four hosts of upstream 1."""
 
-    def __init__(self):
+    def __init__(self, zone="a"):
         self.now_s = 1000.0
         self.listed = {name: upstream(name) for name in "1234"}
         self.directory = UpstreamDirectory()
         self.observer = RecordingSilenceObserver()
         self.detector = SilentUpstreamDetector(
-            ZoneId("a"), self.directory, self.observer
+            ZoneId(zone), self.directory, self.observer
         )
         self.revision = 0
         self.progress_at_s = self.now_s
@@ -315,6 +315,12 @@
     assert len(context.judged.observer.silences) == 1, context.judged.observer.silences
 
 
+@given("a detector of another zone with all evidence against upstream 1")
+def given_other_zone(context):
+    context.judged = JudgedUpstream(zone="b")
+    context.judged.report_for(1.5)
+
+
 @given("a detector with all evidence against upstream 1 but the time")
 def given_almost(context):
     context.judged = JudgedUpstream()
