--- a/src/wisteriatiller/steering/evidence/__init__.py
+++ b/src/wisteriatiller/steering/evidence/__init__.py
@@ -6,6 +6,7 @@
     NO_FINDINGS,
     FindingsView,
     ServiceLoad,
+    SilentUpstream,
     ZoneFindings,
 )
 from .flowloss import FlowLossDetector
@@ -18,6 +19,13 @@
     UpstreamRecorder,
     UpstreamReport,
 )
+from .silentupstreams import (
+    EndReason,
+    Silence,
+    SilenceObserver,
+    SilentUpstreamDetector,
+)
+from .silentverdicts import SilentVerdicts
 from .slowupstreams import Share, SlowUpstreamDetector
 from .upstreamweights import UpstreamWeights
 from .warmup import PaceChange, PaceObserver, PaceReason, WarmupPacer
@@ -40,6 +48,7 @@
     "NO_FINDINGS",
     "NO_PROGRESS_MS",
     "QUOTA_WINDOW_S",
+    "EndReason",
     "FindingsView",
     "FlowLossDetector",
     "HealthState",
@@ -52,6 +61,11 @@
     "ServiceLoad",
     "Share",
     "ShareObserver",
+    "Silence",
+    "SilenceObserver",
+    "SilentUpstream",
+    "SilentUpstreamDetector",
+    "SilentVerdicts",
     "SlowUpstreamDetector",
     "UpstreamHealth",
     "UpstreamRecorder",
--- a/src/wisteriatiller/steering/reporting.py
+++ b/src/wisteriatiller/steering/reporting.py
@@ -7,15 +7,17 @@
 
 from .directory import DirectoryEntry, UpstreamChange, UpstreamDirectory
 from .evacuation import EvacuationView
-from .evidence import PaceChange, Share, ShareObserver
+from .evidence import EndReason, PaceChange, Share, ShareObserver, Silence
 from .flowtable import Flow
 from .packets import (
     Discard,
+    FlowReset,
     LossEvidence,
     OverloadEvidence,
     Packet,
     RefusalReason,
     Refuse,
+    SilenceEvidence,
     format_flow,
 )
 from .ports import ConfigInvalid, StoreFailure
@@ -121,6 +123,8 @@
 
     def packet_refused(self, packet: Packet, refusal: Refuse) -> None:
         self._counters.count("packets_refused", refusal.reason.value)
+        if refusal.reason is RefusalReason.UPSTREAM_SILENT:
+            self._counters.count("flows_reset_silent", "on_request")
         evidence = {}
         if isinstance(refusal.evidence, OverloadEvidence):
             priority = f"priority_{refusal.evidence.priority}"
@@ -134,6 +138,17 @@
             "flow_refused", packet, refusal.reason.value, **evidence
         )
 
+    def flow_reset(self, reset: FlowReset) -> None:
+        self._counters.count("flows_reset_silent", "unasked")
+        self._log.flow_event(
+            "flow_refused",
+            flow=format_flow(reset.flow),
+            reason=RefusalReason.UPSTREAM_SILENT.value,
+            kind="unasked",
+            **_evidence_fields(reset.evidence),
+            **self._state_fields(),
+        )
+
     def packet_discarded(self, packet: Packet, discard: Discard) -> None:
         self._counters.count("packets_discarded", discard.reason.value)
         self._log_dropped_packet("packet_discarded", packet, discard.reason.value)
@@ -174,6 +189,16 @@
             **self._state_fields(),
         )
 
+    def upstream_silent(self, silence: Silence) -> None:
+        self._counters.count("upstreams_silent")
+        self._log_silence("upstream_silent", silence, silence.decided_at_s)
+
+    def upstream_answers_again(
+        self, silence: Silence, reason: EndReason, now_s: float
+    ) -> None:
+        self._counters.count("silences_ended", reason.value)
+        self._log_silence("upstream_answers_again", silence, now_s, reason=reason.value)
+
     def unknown_tag_received(self) -> None:
         self.on_unknown_tag()
 
@@ -330,6 +355,22 @@
             **self._state_fields(),
         )
 
+    def _log_silence(
+        self, event: str, silence: Silence, now_s: float, **fields: object
+    ) -> None:
+        self._log.event(
+            event,
+            upstream=silence.upstream_id,
+            service=silence.service,
+            started_ms=silence.started_ms,
+            hosts=silence.hosts,
+            flows=silence.flows,
+            failed_openings=silence.failed_openings,
+            silent_ms=_to_ms(now_s - silence.quiet_since_s),
+            **fields,
+            **self._state_fields(),
+        )
+
     def _log_dropped_packet(
         self, event: str, packet: Packet, reason: str, **fields: object
     ) -> None:
@@ -355,7 +396,9 @@
         }
 
 
-def _evidence_fields(evidence: LossEvidence) -> dict[str, object]:
+def _evidence_fields(evidence: LossEvidence | SilenceEvidence) -> dict[str, object]:
+    if isinstance(evidence, SilenceEvidence):
+        return _silence_fields(evidence)
     is_ever_heard = evidence.silent_s < float("inf")
     return {
         "upstream": evidence.upstream_id,
@@ -384,5 +427,18 @@
     }
 
 
+def _silence_fields(evidence: SilenceEvidence) -> dict[str, object]:
+    own_silent_s = evidence.own_silent_s
+    return {
+        "upstream": evidence.upstream_id,
+        "started_ms": evidence.started_ms,
+        "silent_ms": _to_ms(evidence.silent_s),
+        "own_silent_ms": _to_ms(own_silent_s if own_silent_s < float("inf") else None),
+        "pending_ms": "none"
+        if evidence.pending_s is None
+        else _to_ms(evidence.pending_s),
+    }
+
+
 def _to_ms(age_s: float | None) -> int | str:
     return "never" if age_s is None else round(1000.0 * age_s)
--- a/src/wisteriatiller/steering/selection/admission.py
+++ b/src/wisteriatiller/steering/selection/admission.py
@@ -22,7 +22,9 @@
 # last half is left to the most urgent route. Numbers lag by a second, and the requests
 # that are just being rejected count too, so the sum of a full service is above five.
 FILLING_PER_SLOT = 4.5
-FULL_PER_SLOT = 5.5
+# How much more a service must hold until all flows of a route are refused, and until
+# those of the next more urgent route begin to be.
+RANK_STEP_PER_SLOT = 1.0
 # A new request may wait for half of the time that its callers want.
 ALLOWED_WAIT_FRACTION = 0.5
 # Nothing is refused below this fraction of what begins refusals.
@@ -174,8 +176,11 @@
         gate = self._gates.setdefault((service, route.name), _Gate())
         has_changed = False
         if gate.usage is not usage:
-            is_most_urgent = self._config.is_most_urgent(route, service)
-            limits = _Limits.of(route, is_most_urgent)
+            limits = _Limits.of(
+                route,
+                self._config.is_most_urgent(route, service),
+                self._config.urgency_rank(route, service),
+            )
             has_changed = gate.update(usage, limits, now_s)
         is_refused = gate.probability > 0.0 and _draw(packet.flow) < gate.probability
         if not has_changed and not is_refused:
@@ -209,16 +214,19 @@
     """
 
     is_most_urgent: bool
+    begin_per_slot: float
     begin_wait_s: float
     full_wait_s: float
 
     @classmethod
-    def of(cls, route: Route, is_most_urgent: bool) -> "_Limits":
+    def of(cls, route: Route, is_most_urgent: bool, urgency_rank: int) -> "_Limits":
+        begin_per_slot = FILLING_PER_SLOT + RANK_STEP_PER_SLOT * urgency_rank
         if is_most_urgent:
             timeout_s = route.timeout_ms / 1000.0
-            return cls(True, timeout_s, timeout_s)
+            return cls(True, begin_per_slot, timeout_s, timeout_s)
         target_s = route.target_latency_ms / 1000.0
-        return cls(False, ALLOWED_WAIT_FRACTION * target_s, target_s)
+        begin_wait_s = ALLOWED_WAIT_FRACTION * target_s
+        return cls(False, begin_per_slot, begin_wait_s, target_s)
 
     def pressure(self, usage: ServiceUsage) -> float:
         """How near a service is to refusals: they begin at 1."""
@@ -227,7 +235,7 @@
         by_wait = (usage.wait_s or 0.0) / self.begin_wait_s
         if self.is_most_urgent:
             return by_wait
-        return max(by_wait, usage.per_slot / FILLING_PER_SLOT)
+        return max(by_wait, usage.per_slot / self.begin_per_slot)
 
     def probability(self, usage: ServiceUsage) -> float:
         """The fraction of new flows to refuse if the usage stays as it is."""
@@ -236,7 +244,9 @@
         by_wait = _ramp(usage.wait_s or 0.0, self.begin_wait_s, self.full_wait_s)
         if self.is_most_urgent:
             return by_wait
-        return max(by_wait, _ramp(usage.per_slot, FILLING_PER_SLOT, FULL_PER_SLOT))
+        full_per_slot = self.begin_per_slot + RANK_STEP_PER_SLOT
+        by_load = _ramp(usage.per_slot, self.begin_per_slot, full_per_slot)
+        return max(by_wait, by_load)
 
 
 def _ramp(value: float, begin: float, full: float) -> float:
--- a/src/wisteriatiller/steering/selection/selector.py
+++ b/src/wisteriatiller/steering/selection/selector.py
@@ -13,7 +13,7 @@
 from wisteriatiller.ids import FlowKey, UpstreamId
 
 from ..directory import DirectoryEntry
-from ..evidence import FindingsView, HealthState, OutlierDetector
+from ..evidence import FindingsView, HealthState, OutlierDetector, SilentVerdicts
 from ..flowtable import FlowTable
 from ..routes import ConfigView
 from ..settings import SteeringSettings
@@ -24,6 +24,7 @@
     hash_fraction,
     sample_candidates,
 )
+from .silenttrials import SilentTrials
 from .slowstart import SlowStart
 from .trials import TrialPolicy
 from .warmuplimit import WarmupLimit
@@ -34,13 +35,15 @@
     """The selected entry, and the number of entries that were compared.
 
     ``is_trial`` marks a suspect that is tried with this flow, ``is_overflow`` a flow
-    that leaves its zone because of the loads of the zones.
+    that leaves its zone because of the loads of the zones, and ``is_silent_trial`` an
+    upstream that the zone has found silent.
     """
 
     entry: DirectoryEntry
     candidate_count: int
     is_trial: bool
     is_overflow: bool = False
+    is_silent_trial: bool = False
 
 
 class UpstreamSelector(ABC):
@@ -90,6 +93,7 @@
         self._entries = EntriesByZone(settings.zone)
         self._bursts = BurstDetector()
         self._trials = TrialPolicy(settings.zone, outliers)
+        self._silent_trials = SilentTrials(settings, SilentVerdicts(findings, outliers))
         self._slow_start = SlowStart(settings, config, outliers, findings)
         self._warmup_limit = warmup_limit
         self.spill: ZoneSpill | None = None
@@ -109,8 +113,13 @@
             return None
         service_entries = self._entries.split(entries)
         is_burst = self._bursts.count_and_detect(service_entries, now_s)
+        sampled = _sample(service_entries, flow)
+        silent_trial = self._silent_trials.pick(sampled, excluded, now_s)
+        if silent_trial is not None and self._warmup_limit.allows(silent_trial, now_s):
+            return Selection(silent_trial, len(sampled), False, is_silent_trial=True)
         overflow = self._overflow_pool(service_entries, flow, excluded, now_s)
-        candidates = overflow or _untried_sample(service_entries, flow, excluded)
+        candidates = self._silent_trials.filter(overflow or sampled, now_s)
+        candidates = _untried(candidates, excluded)
         pool = self._warmup_limit.allowed(candidates, now_s)
         pool = pool or self._warmup_limit.allowed(entries, now_s)
         if not pool:
@@ -195,13 +204,17 @@
         return (flows + 1) / weight, hash_fraction(entry, flow)
 
 
-def _untried_sample(
-    service_entries: ServiceEntries, flow: FlowKey, excluded: Collection[UpstreamId]
-) -> list[DirectoryEntry]:
-    """Sample all zones, and use what the flow has tried only if there is no other."""
-    sampled = [
+def _sample(service_entries: ServiceEntries, flow: FlowKey) -> list[DirectoryEntry]:
+    """Sample the own zone and the other zones."""
+    return [
         *sample_candidates(service_entries.local, flow),
         *sample_candidates(service_entries.remote, flow),
     ]
-    untried = [entry for entry in sampled if entry.upstream.upstream_id not in excluded]
-    return untried or sampled
+
+
+def _untried(
+    entries: Sequence[DirectoryEntry], excluded: Collection[UpstreamId]
+) -> Sequence[DirectoryEntry]:
+    """Leave out what the flow has tried, unless there is no other."""
+    untried = [entry for entry in entries if entry.upstream.upstream_id not in excluded]
+    return untried or entries
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -27,6 +27,7 @@
     NO_PROGRESS_MS,
     HostReport,
     ServiceLoad,
+    SilentUpstream,
     UpstreamReport,
     ZoneFindings,
 )
@@ -311,20 +312,44 @@
         list(findings.silent),
         [list(load) for load in findings.loads],
         list(findings.warmup_quotas.items()),
+        [list(silent) for silent in findings.silent_upstreams],
     ]
 
 
 def _decode_findings(
-    shares: list, silent: list, loads: list, warmup_quotas: list
+    shares: list,
+    silent: list,
+    loads: list,
+    warmup_quotas: list,
+    silent_upstreams: list,
 ) -> ZoneFindings:
     return ZoneFindings(
         shares={Tag(int(tag)): _decode_fraction(part) for tag, part in shares},
         silent=frozenset(Tag(int(tag)) for tag in silent),
         loads=tuple(_decode_load(*load) for load in loads),
         warmup_quotas={Tag(int(tag)): int(flows) for tag, flows in warmup_quotas},
+        silent_upstreams=tuple(
+            _decode_silent_upstream(*fields) for fields in silent_upstreams
+        ),
     )
 
 
+def _decode_silent_upstream(
+    tag, started_ms, silent_ms, trial_host, trial_number
+) -> SilentUpstream:
+    return SilentUpstream(
+        tag=Tag(int(tag)),
+        started_ms=int(started_ms),
+        silent_ms=max(0, int(silent_ms)),
+        trial_host=None if trial_host is None else _decode_address(*trial_host),
+        trial_number=int(trial_number),
+    )
+
+
+def _decode_address(ip, port) -> Address:
+    return Address(str(ip), int(port))
+
+
 def _decode_load(
     reporting_zone, service, upstream_zone, in_flight, answers, openings, age_s
 ) -> ServiceLoad:
--- a/testbed/admissionworld.py
+++ b/testbed/admissionworld.py
@@ -179,6 +179,12 @@
     def pace_changed(self, change):
         pass
 
+    def upstream_silent(self, silence):
+        pass
+
+    def upstream_answers_again(self, silence, reason, now_s):
+        pass
+
 
 class InformedEvidence(ZoneEvidence):
     """Also knows the silent upstreams that the detectors of all zones have found."""
--- a/testbed/unevenworld.py
+++ b/testbed/unevenworld.py
@@ -151,6 +151,12 @@
     def pace_changed(self, change):
         pass
 
+    def upstream_silent(self, silence):
+        pass
+
+    def upstream_answers_again(self, silence, reason, now_s):
+        pass
+
 
 class Placement(NamedTuple):
     """A new flow: the zones of its client and its upstream, as numbers."""
--- a/testbed/warmupworld.py
+++ b/testbed/warmupworld.py
@@ -109,6 +109,12 @@
     def share_restored(self, share):
         pass
 
+    def upstream_silent(self, silence):
+        pass
+
+    def upstream_answers_again(self, silence, reason, now_s):
+        pass
+
     def pace_changed(self, change):
         self.steps.append((self._clock.now_s(), change))
 
