Leave refusals on overload off

Change: refuses_on_overload, off by default. Urgency counts the routes that clients use (RouteUse), since an idle route of the highest priority made urgent requests as refusable as all others.

--- a/src/wisteriatiller/steering/routes.py
+++ b/src/wisteriatiller/steering/routes.py
@@ -83,7 +83,7 @@
         self.confirmed_at_s: float | None = None
         self._routes: dict[ServiceAddress, Route] = {}
         self._warmups: dict[ServiceId, WarmupSettings] = {}
-        self._priorities: dict[ServiceId, list[int]] = {}
+        self._top_priorities: dict[ServiceId, int] = {}
         self._placement_tables: dict[ServiceAddress, PlacementTable] = {}
 
     def apply(self, config: RouteConfig) -> bool:
@@ -93,7 +93,7 @@
         self.config = config
         self._routes = {route.service_address: route for route in config.routes}
         self._warmups = {warmup.service: warmup for warmup in config.warmups}
-        self._priorities = _priorities_by_service(config.routes)
+        self._top_priorities = _top_priorities(config.routes)
         self._placement_tables.clear()
         return True
 
@@ -114,13 +114,7 @@
 
     def is_most_urgent(self, route: Route, service: ServiceId) -> bool:
         """Whether no route that uses the service is more urgent than this one."""
-        priorities = self._priorities.get(service, [route.priority])
-        return route.priority <= priorities[0]
-
-    def urgency_rank(self, route: Route, service: ServiceId) -> int:
-        """How many priorities of routes that use the service are less urgent."""
-        priorities = self._priorities.get(service, [])
-        return sum(priority > route.priority for priority in priorities)
+        return route.priority <= self._top_priorities.get(service, route.priority)
 
     def ranked_services(self, route: Route, flow: FlowKey) -> list[ServiceId]:
         """The services of the route, ranked for a flow: its preferred one first."""
@@ -133,10 +127,10 @@
         return table.ranked(flow)
 
 
-def _priorities_by_service(routes: Iterable[Route]) -> dict[ServiceId, list[int]]:
-    """The priorities of the routes of each service, the most urgent first."""
-    found: dict[ServiceId, set[int]] = {}
+def _top_priorities(routes: Iterable[Route]) -> dict[ServiceId, int]:
+    """The priority of the most urgent route of each service."""
+    found: dict[ServiceId, int] = {}
     for route in routes:
         for service, _ in route.services:
-            found.setdefault(service, set()).add(route.priority)
-    return {service: sorted(priorities) for service, priorities in found.items()}
+            found[service] = min(route.priority, found.get(service, route.priority))
+    return found
--- a/src/wisteriatiller/steering/selection/admission.py
+++ b/src/wisteriatiller/steering/selection/admission.py
@@ -16,15 +16,14 @@
 from ..evidence import FindingsView, OutlierDetector
 from ..packets import OverloadEvidence, Packet, RefusalReason, Refuse
 from ..routes import ConfigView, Route
+from .routeuse import RouteUse
 from .serviceusage import ServiceUsage, ServiceUsageView
 
 # Upstreams hold five requests for each slot: one in work and four in their queue. The
 # last half is left to the most urgent route. Numbers lag by a second, and the requests
 # that are just being rejected count too, so the sum of a full service is above five.
 FILLING_PER_SLOT = 4.5
-# How much more a service must hold until all flows of a route are refused, and until
-# those of the next more urgent route begin to be.
-RANK_STEP_PER_SLOT = 1.0
+FULL_PER_SLOT = 5.5
 # A new request may wait for half of the time that its callers want.
 ALLOWED_WAIT_FRACTION = 0.5
 # Nothing is refused below this fraction of what begins refusals.
@@ -121,7 +120,7 @@
         findings: FindingsView,
         observer: AdmissionObserver,
     ):
-        self._config = config
+        self._route_use = RouteUse(config)
         self._usages = ServiceUsageView(outliers, findings)
         self._observer = observer
         self._gates: dict[tuple[ServiceId, str], _Gate] = {}
@@ -172,15 +171,13 @@
         now_s: float,
     ) -> OverloadEvidence | None:
         service = entries[0].upstream.service
+        self._route_use.record(service, route, now_s)
         usage = self._usages.usage_of(service, entries, now_s)
         gate = self._gates.setdefault((service, route.name), _Gate())
         has_changed = False
         if gate.usage is not usage:
-            limits = _Limits.of(
-                route,
-                self._config.is_most_urgent(route, service),
-                self._config.urgency_rank(route, service),
-            )
+            is_most_urgent = self._route_use.is_most_urgent(service, route, now_s)
+            limits = _Limits.of(route, is_most_urgent)
             has_changed = gate.update(usage, limits, now_s)
         is_refused = gate.probability > 0.0 and _draw(packet.flow) < gate.probability
         if not has_changed and not is_refused:
@@ -214,19 +211,16 @@
     """
 
     is_most_urgent: bool
-    begin_per_slot: float
     begin_wait_s: float
     full_wait_s: float
 
     @classmethod
-    def of(cls, route: Route, is_most_urgent: bool, urgency_rank: int) -> "_Limits":
-        begin_per_slot = FILLING_PER_SLOT + RANK_STEP_PER_SLOT * urgency_rank
+    def of(cls, route: Route, is_most_urgent: bool) -> "_Limits":
         if is_most_urgent:
             timeout_s = route.timeout_ms / 1000.0
-            return cls(True, begin_per_slot, timeout_s, timeout_s)
+            return cls(True, timeout_s, timeout_s)
         target_s = route.target_latency_ms / 1000.0
-        begin_wait_s = ALLOWED_WAIT_FRACTION * target_s
-        return cls(False, begin_per_slot, begin_wait_s, target_s)
+        return cls(False, ALLOWED_WAIT_FRACTION * target_s, target_s)
 
     def pressure(self, usage: ServiceUsage) -> float:
         """How near a service is to refusals: they begin at 1."""
@@ -235,7 +229,7 @@
         by_wait = (usage.wait_s or 0.0) / self.begin_wait_s
         if self.is_most_urgent:
             return by_wait
-        return max(by_wait, usage.per_slot / self.begin_per_slot)
+        return max(by_wait, usage.per_slot / FILLING_PER_SLOT)
 
     def probability(self, usage: ServiceUsage) -> float:
         """The fraction of new flows to refuse if the usage stays as it is."""
@@ -244,9 +238,7 @@
         by_wait = _ramp(usage.wait_s or 0.0, self.begin_wait_s, self.full_wait_s)
         if self.is_most_urgent:
             return by_wait
-        full_per_slot = self.begin_per_slot + RANK_STEP_PER_SLOT
-        by_load = _ramp(usage.per_slot, self.begin_per_slot, full_per_slot)
-        return max(by_wait, by_load)
+        return max(by_wait, _ramp(usage.per_slot, FILLING_PER_SLOT, FULL_PER_SLOT))
 
 
 def _ramp(value: float, begin: float, full: float) -> float:
--- a/src/wisteriatiller/steering/settings.py
+++ b/src/wisteriatiller/steering/settings.py
@@ -21,7 +21,8 @@
     they only share the response times of slow ones. An evacuation of a zone must be
     applied within ``evacuation_bound_s``; None if zones are not evacuated here. A cold
     upstream may get ``warmup_overage`` times its service's rate of new flows, and
-    ``warmup_slack_flows`` more, in any second.
+    ``warmup_slack_flows`` more, in any second. ``refuses_on_overload`` lets hosts refuse
+    flows of a service whose upstreams are all full; otherwise only upstreams reject.
     """
 
     host_id: HostId
@@ -48,6 +49,7 @@
     evacuation_bound_s: float | None = None
     warmup_overage: float = 1.0
     warmup_slack_flows: float = 0.0
+    refuses_on_overload: bool = False
 
     @property
     def has_evacuations(self) -> bool:
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -131,7 +131,7 @@
             self.warmup_limit,
         )
         self.admission: AdmissionPolicy | None = None
-        if settings.uses_zone_findings:
+        if settings.refuses_on_overload:
             self.admission = AdmissionPolicy(
                 config, self.outliers, self.findings, observer
             )
--- a/testbed/admissionworld.py
+++ b/testbed/admissionworld.py
@@ -260,7 +260,11 @@
         self.number = number
         self.events = AdmissionEvents()
         self.settings = steering_settings(
-            _zone_id(zone), f"host-{number}", number, uses_zone_findings=True
+            _zone_id(zone),
+            f"host-{number}",
+            number,
+            uses_zone_findings=True,
+            refuses_on_overload=True,
         )
         self.directory, config = UpstreamDirectory(), ConfigView()
         now_s = world.clock.now_s()
--- a/tests/admission.feature
+++ b/tests/admission.feature
@@ -188,3 +188,10 @@
     And the refusals of priority 1 are counted
     When the requests in flight are 1.0 a slot for 10 findings
     Then the log has admission_unlimited with service, in flight, slots, wait and route
+
+  Scenario: A route that nobody uses makes no other route less urgent
+    # Guards against urgent requests that are refused like all others, because the
+    # configuration holds an idle route with a higher priority.
+    Given a host that sees flows of the priorities 1 and 2, and one probe of priority 0
+    Then the route of priority 1 is the most urgent one
+    And the route of priority 2 is not
