Reject a traffic split that is not a list

Cause: decoding a route whose traffic_split is a number or true raised a TypeError. The read counted as a failure of the store (store_call_failed) instead of an invalid configuration (config_invalid), so an operator would look for the fault in the wrong place. Change: decode_config raises StoredValueError for it. parse_object and REQUEST_KINDS are public, for the check of configurations.

--- a/src/wisteriatiller/platform/storedvalues.py
+++ b/src/wisteriatiller/platform/storedvalues.py
@@ -22,7 +22,7 @@
 # JSON implementations agree on integers up to 2**53.
 MAX_EXACT_INTEGER = 1 << 53
 # "safe" requests may be repeated, "unsafe" ones may run once at most.
-_REQUEST_KINDS = {
+REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
     "download": RequestKind.DOWNLOAD,
     "unsafe": RequestKind.NON_IDEMPOTENT,
@@ -49,7 +49,7 @@
 
     Raises ``StoredValueError`` if a field is missing or invalid.
     """
-    entry = _parse_object(data)
+    entry = parse_object(data)
     if not is_valid_upstream_id(upstream_id):
         raise StoredValueError(f"invalid upstream id {upstream_id!a}")
     state = _STATES.get(_typed_field(entry, "state", str))
@@ -77,7 +77,7 @@
 
     Raises ``StoredValueError`` if any part of it is invalid.
     """
-    config = _parse_object(data)
+    config = parse_object(data)
     limits = config.get("limits")
     idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS
     if isinstance(limits, dict) and "idle_timeout_ms" in limits:
@@ -118,6 +118,8 @@
         raise StoredValueError(f"prefix: found {route['prefix']!r}, expected a port")
     split = route.get("traffic_split")
     if split:
+        if not isinstance(split, list):
+            raise StoredValueError(f"traffic_split: found {split!a}, expected a list")
         services = tuple(_decode_weighted_service(part) for part in split)
     else:
         services = (
@@ -130,7 +132,7 @@
         service_address=ServiceAddress(host + int(port).to_bytes(2, "big")),
         services=services,
         # Whatever is not known to be repeatable is taken for non-idempotent.
-        kind=_REQUEST_KINDS.get(str(route.get("type")), RequestKind.NON_IDEMPOTENT),
+        kind=REQUEST_KINDS.get(str(route.get("type")), RequestKind.NON_IDEMPOTENT),
         priority=int(_number_or_zero(route, "priority")),
         target_latency_ms=int(_number_or_zero(route, "target_latency_ms")),
         timeout_ms=int(_number_or_zero(route, "timeout_ms")),
@@ -144,7 +146,8 @@
     return WeightedService(ServiceId(_typed_field(part, "service", str)), weight)
 
 
-def _parse_object(data: bytes) -> dict:
+def parse_object(data: bytes) -> dict:
+    """Parse a JSON object; raises ``StoredValueError`` if the data is none."""
     try:
         value = json.loads(data)
     except (ValueError, RecursionError) as error:
--- a/tests/platformadapter.feature
+++ b/tests/platformadapter.feature
@@ -80,6 +80,17 @@
       | weight          | 1e999                 |
       | service         | "\ud800"              |
 
+  Scenario Outline: A traffic split that is not a list is rejected
+    # Guards against an operator's mistake that looks like a failure of the store.
+    Given a valid configuration in which traffic_split is <value>
+    Then the configuration is rejected
+
+    Examples:
+      | value              |
+      | 5                  |
+      | true               |
+      | {"service": "stock"} |
+
   Scenario: Entries that are not JSON objects are rejected
     # Guards against a crash on malformed values.
     Then entries of no bytes, no JSON, a list and deep nesting are rejected
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -150,6 +150,7 @@
         "weight": part,
         "service": part,
         "name": made["routes"][0],
+        "traffic_split": made["routes"][0],
     }
     places[field][field] = json.loads(value)
     context.data = json.dumps(made).encode()
