--- a/src/wisteriatiller/steering/__init__.py
+++ b/src/wisteriatiller/steering/__init__.py
@@ -19,6 +19,7 @@
 )
 from .ports import PacketCodec, StoreReader
 from .routes import (
+    NO_VERSION,
     ConfigVersion,
     RequestKind,
     Route,
@@ -30,6 +31,7 @@
 from .upstreams import Listing, Tag, Upstream, UpstreamState
 
 __all__ = [
+    "NO_VERSION",
     "ConfigVersion",
     "Decision",
     "Discard",
