--- a/src/wisteriatiller/configuration/__init__.py
+++ b/src/wisteriatiller/configuration/__init__.py
@@ -1,6 +1,7 @@
 """Parsing and validation of the configuration text and of a host's settings."""
 
 from .config import ConfigSource, Configuration, RequestMode, Service, Upstream
+from .configdiff import find_contradictions, find_differences
 from .configrecord import (
     NO_RECORD,
     ConfigRecord,
@@ -33,6 +34,8 @@
     "check_store_url",
     "decode_record",
     "encode_record",
+    "find_contradictions",
+    "find_differences",
     "load_settings",
     "load_text",
     "next_record",
--- a/src/wisteriatiller/operations/cli.py
+++ b/src/wisteriatiller/operations/cli.py
@@ -28,6 +28,8 @@
     TextProblems,
     check_address,
     check_store_url,
+    find_contradictions,
+    find_differences,
     load_settings,
     load_text,
 )
@@ -41,6 +43,7 @@
     PlatformHost,
     RolloutProgress,
     Submitted,
+    check_successor,
     find_hosts,
     highest_running_revision,
     new_submission_id,
@@ -116,12 +119,17 @@
     name = "check"
     description = "Check a configuration text, or with --settings a settings file"
     arguments = [argument("file", "File with the text", optional=True)]
-    options = [option("settings", None, "Settings file to check", flag=False)]
+    options = [
+        option("settings", None, "Settings file to check", flag=False),
+        option("against", None, "File with the text in force", flag=False),
+    ]
 
     def handle(self) -> int:
         file, settings = self.argument("file"), self.option("settings")
         if not file and not settings:
             raise UsageError("check: FILE or --settings FILE is missing")
+        if self.option("against") and not file:
+            raise UsageError("check: --against needs the FILE to compare")
         if settings:
             host_id = load_settings(Path(settings)).host_id
             print_line(f"{settings}: valid settings of host {host_id}")
@@ -131,11 +139,29 @@
         if isinstance(configuration, TextProblems):
             print_error(str(configuration))
             return EXIT_NOTHING_CHANGED
+        for finding in find_contradictions(configuration):
+            print_line(f"{file}: {finding}")
+        against = self.option("against")
+        if against and not self._compare(file, configuration, against):
+            return EXIT_NOTHING_CHANGED
         services = len(configuration.services)
         upstreams = len(configuration.upstreams)
         print_line(f"{file}: valid, services={services} upstreams={upstreams}")
         return EXIT_SUCCESS
 
+    def _compare(self, file: str, configuration: Configuration, against: str) -> bool:
+        """Print what differs from the text in force; whether submit would take it."""
+        in_force = load_configuration_file(against)
+        if isinstance(in_force, TextProblems):
+            print_error(str(in_force))
+            return False
+        for finding in find_differences(in_force, configuration):
+            print_line(f"{file}: {finding}")
+        problems = check_successor(in_force, configuration, file)
+        if problems is not None:
+            print_error(str(problems))
+        return problems is None
+
 
 class Submit(Command):
     name = "submit"
--- a/src/wisteriatiller/store/__init__.py
+++ b/src/wisteriatiller/store/__init__.py
@@ -10,7 +10,13 @@
     highest_running_revision,
     wait_until_in_force,
 )
-from .submission import Submitted, new_submission_id, read_record, submit
+from .submission import (
+    Submitted,
+    check_successor,
+    new_submission_id,
+    read_record,
+    submit,
+)
 
 __all__ = [
     "GOSSIP_KEY",
@@ -21,6 +27,7 @@
     "PlatformHost",
     "RolloutProgress",
     "Submitted",
+    "check_successor",
     "find_hosts",
     "highest_running_revision",
     "new_submission_id",
--- a/src/wisteriatiller/store/submission.py
+++ b/src/wisteriatiller/store/submission.py
@@ -56,14 +56,21 @@
     apply a revision at different times. If any of these changed, or if an upstream
     address moved to another id, two hosts could hold valid leases of different shards
     for the same upstream.
+
+    ``current`` may also be read from a text, which has no revision and no earlier
+    upstreams.
     """
     problems = []
 
     def add_problem(key_path: str, found: object, allowed: str) -> None:
         problems.append(TextProblem(name, 1, key_path, str(found), allowed))
 
-    if current.revision and submitted.shard_count != current.shard_count:
-        allowed = f"{current.shard_count}, as in revision {current.revision}"
+    is_in_force = bool(current.revision or current.services)
+    if is_in_force and submitted.shard_count != current.shard_count:
+        source = (
+            f"revision {current.revision}" if current.revision else "the other text"
+        )
+        allowed = f"{current.shard_count}, as in {source}"
         add_problem("shard_count", submitted.shard_count, allowed)
     for upstream in submitted.upstreams.values():
         path = f"services.{upstream.service_id}.upstreams.{upstream.upstream_id}"
--- a/tests/configcheck.feature
+++ b/tests/configcheck.feature
@@ -202,3 +202,39 @@
     When the configuration is checked against version 7
     Then the check ends with 0
     And its output has 2 lines of printable ASCII
+
+  Scenario Outline: Differences of an operator's text from the one in force
+    # Guards against <mistake> in the text of the product.
+    Given a text of the product in force
+    And another text of the product, in which <place> is <value>
+    When the text is checked against the one in force
+    Then the check ends with <status>
+    And it says "<found>"
+    And its output has <lines> lines of printable ASCII
+
+    Examples:
+      | mistake                       | place                                           | value   | status | found                                                                | lines |
+      | a false alarm                 | shard_count                                     | 16      | 0      | valid, services=2 upstreams=3                                        | 1 |
+      | a limit changed by accident   | services.stock-browser.deadline_ms              | 500     | 0      | change: services.stock-browser.deadline_ms: changed from 2000 to 500 | 2 |
+      | a default that is written out | services.stock-browser.flow_idle_s              | 300     | 0      | .json: valid                                                         | 1 |
+      | a weight changed by accident  | services.stock-browser.upstreams.stock-1.weight | 9       | 0      | change: services.stock-browser.upstreams.stock-1.weight: changed from 1.0 to 9.0 | 2 |
+      | an upstream that got lost     | services.stock-browser.upstreams.stock-2        | absent  | 0      | change: services.stock-browser.upstreams.stock-2: removed            | 2 |
+      | an upstream under a new id    | services.stock-browser.upstreams.stock-3        | {"address": "10.20.0.3:7001", "zone": "brest", "slots": 3} | 0 | change: services.stock-browser.upstreams.stock-3: added | 2 |
+      | a service that got lost       | services.price-list                             | absent  | 0      | warning: services.price-list: removed; new flows are refused         | 3 |
+      | an idle time below a deadline | services.stock-browser.flow_idle_s              | 1       | 0      | warning: services.stock-browser.flow_idle_s: found 1, shorter than deadline_ms 2000 | 3 |
+      | a move to another zone        | services.stock-browser.upstreams.stock-1.zone   | "brest" | 2      | found brest; allowed: quimper for this id, or a new id               | 2 |
+      | another shard count           | shard_count                                     | 32      | 2      | found 32; allowed: 16, as in the other text                          | 2 |
+      | a misspelt key                | services.stock-browser.deadline                 | 500     | 2      | found an unknown key; allowed: deadline_ms                           | 1 |
+
+  Scenario Outline: A text to compare with that cannot be used is an error
+    # Guards against a comparison with nothing, which would show no difference.
+    Given a text of the product in force
+    When the program runs with "<arguments>"
+    Then the check ends with 2
+    And it says "<found>"
+
+    Examples:
+      | arguments                         | found                                |
+      | check FILE --against missing.json | No such file                         |
+      | check FILE --against EMPTY        | allowed: JSON                        |
+      | check --against FILE              | FILE or --settings FILE is missing   |
