--- a/src/wisteriatiller/steering/settings.py
+++ b/src/wisteriatiller/steering/settings.py
@@ -21,8 +21,9 @@
     they only share the response times of slow ones. An evacuation of a zone must be
     applied within ``evacuation_bound_s``; None if zones are not evacuated here. A cold
     upstream may get ``warmup_overage`` times its service's rate of new flows, and
-    ``warmup_slack_flows`` more, in any second. ``refuses_on_overload`` lets hosts refuse
-    flows of a service whose upstreams are all full; otherwise only upstreams reject.
+    ``warmup_slack_flows`` more, in any second. ``refuses_on_overload`` lets hosts
+    refuse flows of a service whose upstreams are all full; otherwise only upstreams
+    reject.
     """
 
     host_id: HostId
