Count only requests of up to 0.7 s as load

Cause: when a host joins or leaves, the routers move nearly all flows, and the request that a host waits for is answered through another one. It counted as load for up to two seconds. Change: in_flight counts requests of up to 0.7 s; the verdict on silent upstreams uses the new number unanswered, which counts up to two seconds.

--- a/src/wisteriatiller/steering/evidence/reports.py
+++ b/src/wisteriatiller/steering/evidence/reports.py
@@ -24,9 +24,12 @@
 MAX_PROGRESS_AGE_MS = 10_000
 # Clients give up sooner, so an older request has been abandoned without a packet.
 MAX_PENDING_S = 10.0
-# An upstream that queues a few requests for each slot answers or rejects them sooner.
-# An older request is lost, for example with the flow at a crashed upstream.
-MAX_QUEUED_S = 2.0
+# An upstream that queues a few requests for each slot answers or rejects most of them
+# sooner. An older request may have been answered through another host: the routers move
+# nearly all flows when a host joins or leaves.
+MAX_QUEUED_S = 0.7
+# A request without an answer for longer has been given up, or its flow has moved.
+MAX_UNANSWERED_S = 2.0
 # A client that has repeated its data twice has waited for more than half a second.
 SILENT_REPEATS = 2
 # Clients double the interval between repeats: the second comes 0.6 s after the request
@@ -39,7 +42,8 @@
 
     ``counts`` is the histogram of response times since the last report.
     ``in_flight`` is the number of requests without an answer at present, but for those
-    that have waited longer than any queue, and
+    that have waited longer than in a usual queue, ``unanswered`` the same with those,
+    and
     ``silent_flows`` that of the flows whose client has repeated such a request
     ``SILENT_REPEATS`` times and goes on. ``progress_age_ms`` is the time since any flow
     of the upstream has progressed, or ``NO_PROGRESS_MS``. ``openings`` is the number of
@@ -54,6 +58,7 @@
     progress_age_ms: int = NO_PROGRESS_MS
     openings: int = 0
     failed_openings: int = 0
+    unanswered: int = 0
 
 
 HostReport = tuple[UpstreamReport, ...]
@@ -146,6 +151,9 @@
                 in_flight=sum(
                     flow.has_pending_request(now_s, MAX_QUEUED_S) for flow in flows
                 ),
+                unanswered=sum(
+                    flow.has_pending_request(now_s, MAX_UNANSWERED_S) for flow in flows
+                ),
                 silent_flows=sum(_is_repeating(flow, now_s) for flow in flows),
             )
         return _most_important(reports.values())
--- a/src/wisteriatiller/steering/evidence/silentupstreams.py
+++ b/src/wisteriatiller/steering/evidence/silentupstreams.py
@@ -430,7 +430,7 @@
             hosts=len(silent_rows),
             flows=sum(row.silent_flows for row in silent_rows),
             in_flight=sum(
-                report.rows[tag].in_flight
+                report.rows[tag].unanswered
                 for report in self._latest.values()
                 if tag in report.rows
             ),
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -142,7 +142,7 @@
     The tag and the histogram come first; the other numbers follow only if one of them
     says anything.
 
-    ``1730542071.0.2.5.1.0.0.0.0;99120.0.0.0.0.0.0.0.1.2.1.840.3.0``
+    ``1730542071.0.2.5.1.0.0.0.0;99120.0.0.0.0.0.0.0.1.2.1.840.3.0.2``
     """
     return ";".join(".".join(map(str, _report_numbers(row))) for row in report)
 
@@ -163,7 +163,7 @@
 def _decode_report_row(numbers: tuple[int, ...]) -> UpstreamReport:
     tag, *rest = numbers
     activity = rest[BUCKETS:]
-    if len(rest) not in (BUCKETS, BUCKETS + 5) or min(numbers) < NO_PROGRESS_MS:
+    if len(rest) not in (BUCKETS, BUCKETS + 6) or min(numbers) < NO_PROGRESS_MS:
         raise MessageError("invalid report in a snapshot request")
     counts = tuple(rest[:BUCKETS])
     if min(tag, *counts) < 0:
