--- a/tests/steps/silentupstreams_steps.py
+++ b/tests/steps/silentupstreams_steps.py
@@ -279,6 +279,7 @@
         silent = UpstreamReport(
             TAG,
             in_flight=3,
+            unanswered=3,
             silent_flows=2,
             failed_openings=1,
             progress_age_ms=round(1000.0 * (self.now_s - self.progress_at_s)),
