Use one decaying count, one draw by hash and one test for taking flows

Cause: the parts were built side by side. The decaying count stood in bursts and in routeuse, the draw of a flow by hash in three policies, add_counts in two detectors, and is_serving repeated DirectoryEntry.takes_new_flows. The selector kept a configuration that nothing reads. Change: the copies call one piece; behaviour is the same.

--- a/src/wisteriatiller/steering/evidence/silentupstreams.py
+++ b/src/wisteriatiller/steering/evidence/silentupstreams.py
@@ -27,7 +27,7 @@
     HostReport,
     UpstreamReport,
 )
-from .silentverdicts import is_serving
+from .slowupstreams import add_counts
 
 # Hosts whose requests have to be unanswered: one host's packets may be lost.
 MIN_HOSTS = 3
@@ -380,7 +380,7 @@
 
     def _end_reason(self, silence: Silence, now_s: float) -> EndReason | None:
         entry = self._directory.by_tag(silence.tag)
-        if entry is None or not is_serving(entry):
+        if entry is None or not entry.takes_new_flows():
             return EndReason.NOT_LISTED
         if entry.upstream.started_ms != silence.started_ms:
             return EndReason.NEW_LIFETIME
@@ -408,7 +408,7 @@
         is_judged = (
             entry is not None
             and entry.upstream.zone == self._zone
-            and is_serving(entry)
+            and entry.takes_new_flows()
         )
         activity = self._activities[tag]
         quiet_since_s = max(activity.quiet_since_s(), self._collecting_since_s)
@@ -454,7 +454,7 @@
         return sum(
             entry.upstream.zone == self._zone
             for entry in self._directory.entries()
-            if entry.upstream.service == service and is_serving(entry)
+            if entry.upstream.service == service and entry.takes_new_flows()
         )
 
     def _has_signs(self, evidence: _Evidence, now_s: float) -> bool:
@@ -473,7 +473,7 @@
         service_counts = [0] * BUCKETS
         for other, counts in answers.items():
             if self._service_of(other) == service:
-                _add_counts(service_counts, counts)
+                add_counts(service_counts, counts)
         longest_s = max(
             _percentile_s(service_counts, SERVICE_PERCENTILE),
             _percentile_s(answers.get(tag, service_counts), OWN_PERCENTILE),
@@ -491,7 +491,7 @@
             for row in report.rows.values():
                 if row.counts is not NO_COUNTS and any(row.counts):
                     counts = found.setdefault(row.tag, [0] * BUCKETS)
-                    _add_counts(counts, self._answers(row, report.received_at_s))
+                    add_counts(counts, self._answers(row, report.received_at_s))
         return found
 
     def _answers(self, row: UpstreamReport, received_at_s: float) -> list[int]:
@@ -532,11 +532,6 @@
     return received_at_s - row.progress_age_ms / 1000.0
 
 
-def _add_counts(counts: list[int], others: Iterable[int]) -> None:
-    for index, count in enumerate(others):
-        counts[index] += count
-
-
 def _percentile_s(counts: list[int], fraction: float) -> float:
     """The upper limit of the bucket that holds a percentile; 0 without samples."""
     total = sum(counts)
--- a/src/wisteriatiller/steering/evidence/silentverdicts.py
+++ b/src/wisteriatiller/steering/evidence/silentverdicts.py
@@ -1,7 +1,7 @@
 """Decides whether a host acts on the verdict that an upstream is silent."""
 
-from ..directory import DirectoryEntry, Presence
-from ..upstreams import Tag, UpstreamState
+from ..directory import DirectoryEntry
+from ..upstreams import Tag
 from .findings import FindingsView, SilentUpstream
 from .outlierdetection import OutlierDetector
 
@@ -32,16 +32,9 @@
         verdict = self._findings.silent_upstream(entry.tag, now_s)
         if verdict is None or verdict.started_ms != entry.upstream.started_ms:
             return None
-        if not is_serving(entry):
+        if not entry.takes_new_flows():
             return None
         health = self._outliers.health_of(entry.upstream.upstream_id)
         silent_since_s = now_s - verdict.silent_ms / 1000.0
         has_answered = health.last_progress_at_s > silent_since_s + ROUNDING_TOLERANCE_S
         return None if has_answered else verdict
-
-
-def is_serving(entry: DirectoryEntry) -> bool:
-    """Whether an upstream is listed and has not announced that it leaves."""
-    is_present = entry.presence in (Presence.LISTED, Presence.UNCERTAIN)
-    is_ready = entry.upstream.state is UpstreamState.READY
-    return is_present and is_ready and not entry.is_withdrawn
--- a/src/wisteriatiller/steering/selection/admission.py
+++ b/src/wisteriatiller/steering/selection/admission.py
@@ -8,14 +8,13 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from xxhash import xxh3_64_intdigest
-
 from wisteriatiller.ids import FlowKey, ServiceId
 
 from ..directory import DirectoryEntry
 from ..evidence import FindingsView, OutlierDetector
 from ..packets import OverloadEvidence, Packet, RefusalReason, Refuse
 from ..routes import ConfigView, Route
+from .candidates import draw_by_hash
 from .routeuse import RouteUse
 from .serviceusage import ServiceUsage, ServiceUsageView
 
@@ -41,7 +40,6 @@
 MAX_REMEMBERED_REFUSALS = 10_000
 # Keeps the draw apart from the hashes of a flow that choose its upstream.
 DRAW_SEED = 0x0AD817
-_HASH_SPACE = float(1 << 64)
 
 
 class AdmissionObserver:
@@ -258,4 +256,4 @@
     The port of the client is part of the key. So a client that tries again on another
     port draws again, with the same chance as any other flow at that moment.
     """
-    return xxh3_64_intdigest(flow, seed=DRAW_SEED) / _HASH_SPACE
+    return draw_by_hash(flow, DRAW_SEED)
--- a/src/wisteriatiller/steering/selection/bursts.py
+++ b/src/wisteriatiller/steering/selection/bursts.py
@@ -1,10 +1,9 @@
 """Detects bursts of new flows from what one host sees of them."""
 
-import math
-
 from wisteriatiller.ids import ServiceId
 
 from .candidates import ServiceEntries
+from .decayingcount import DecayingCount
 
 # Recent new flows above which other zones take flows too: so many for each slot of the
 # host's zone, plus an allowance for flows that coincide by chance. All hosts of a zone
@@ -14,31 +13,16 @@
 BURST_DECAY_S = 0.5
 
 
-class DecayingFlowCount:
-    """An exponentially decaying count of new flows."""
-
-    def __init__(self):
-        self._count = 0.0
-        self._updated_at_s = 0.0
-
-    def add(self, now_s: float) -> None:
-        self._count = self.value(now_s) + 1.0
-        self._updated_at_s = now_s
-
-    def value(self, now_s: float) -> float:
-        return self._count * math.exp((self._updated_at_s - now_s) / BURST_DECAY_S)
-
-
 class BurstDetector:
     """Counts the new flows of each service at this host."""
 
     def __init__(self):
-        self._recent_flows: dict[ServiceId, DecayingFlowCount] = {}
+        self._recent_flows: dict[ServiceId, DecayingCount] = {}
 
     def count_and_detect(self, service_entries: ServiceEntries, now_s: float) -> bool:
         """Count a new flow; return whether recent ones exceed the zone's capacity."""
         service = service_entries.service
-        recent = self._recent_flows.setdefault(service, DecayingFlowCount())
+        recent = self._recent_flows.setdefault(service, DecayingCount(BURST_DECAY_S))
         recent.add(now_s)
         limit = (
             BURST_FLOWS_PER_SLOT * service_entries.local_slots + BURST_FLOWS_ALLOWANCE
--- a/src/wisteriatiller/steering/selection/candidates.py
+++ b/src/wisteriatiller/steering/selection/candidates.py
@@ -67,4 +67,9 @@
 
 def hash_fraction(entry: DirectoryEntry, flow: FlowKey) -> float:
     """Return a number from 0 to 1 that is random for each flow and upstream."""
-    return xxh3_64_intdigest(flow, seed=entry.tag) / _HASH_SPACE
+    return draw_by_hash(flow, entry.tag)
+
+
+def draw_by_hash(flow: FlowKey, seed: int) -> float:
+    """Return a number from 0 to 1 that is the same for a flow on every host."""
+    return xxh3_64_intdigest(flow, seed=seed) / _HASH_SPACE
--- a/src/wisteriatiller/steering/selection/routeuse.py
+++ b/src/wisteriatiller/steering/selection/routeuse.py
@@ -1,10 +1,9 @@
 """Which routes of a service its clients use, by the opening packets of one host."""
 
-import math
-
 from wisteriatiller.ids import ServiceId
 
 from ..routes import ConfigView, Route
+from .decayingcount import DecayingCount
 
 # Long enough that a host of a large zone sees each route that clients use.
 USE_DECAY_S = 20.0
@@ -13,20 +12,12 @@
 MIN_RELATIVE_USE = 0.2
 
 
-class _DecayingCount:
-    """An exponentially decaying count of opening packets."""
+class _RouteCount(DecayingCount):
+    """The decaying count of the opening packets of a route."""
 
     def __init__(self, priority: int):
+        super().__init__(USE_DECAY_S)
         self.priority = priority
-        self._count = 0.0
-        self._updated_at_s = 0.0
-
-    def add(self, now_s: float) -> None:
-        self._count = self.value(now_s) + 1.0
-        self._updated_at_s = now_s
-
-    def value(self, now_s: float) -> float:
-        return self._count * math.exp((self._updated_at_s - now_s) / USE_DECAY_S)
 
 
 class RouteUse:
@@ -34,14 +25,14 @@
 
     def __init__(self, config: ConfigView):
         self._config = config
-        self._counts: dict[ServiceId, dict[str, _DecayingCount]] = {}
+        self._counts: dict[ServiceId, dict[str, _RouteCount]] = {}
 
     def record(self, service: ServiceId, route: Route, now_s: float) -> None:
         """Count an opening packet of a route that may go to a service."""
         counts = self._counts.setdefault(service, {})
         count = counts.get(route.name)
         if count is None or count.priority != route.priority:
-            count = counts[route.name] = _DecayingCount(route.priority)
+            count = counts[route.name] = _RouteCount(route.priority)
         count.add(now_s)
 
     def is_most_urgent(self, service: ServiceId, route: Route, now_s: float) -> bool:
--- a/src/wisteriatiller/steering/selection/selector.py
+++ b/src/wisteriatiller/steering/selection/selector.py
@@ -87,7 +87,6 @@
     ):
         self._zone = settings.zone
         self._remote_weight = settings.remote_weight
-        self._config = config
         self._flows = flows
         self._outliers = outliers
         self._entries = EntriesByZone(settings.zone)
--- a/src/wisteriatiller/steering/selection/zonespill.py
+++ b/src/wisteriatiller/steering/selection/zonespill.py
@@ -13,13 +13,11 @@
 from itertools import accumulate
 from typing import NamedTuple
 
-from xxhash import xxh3_64_intdigest
-
 from wisteriatiller.ids import FlowKey, ServiceId, ZoneId
 
 from ..directory import DirectoryEntry
 from ..evidence import FindingsView, HealthState, OutlierDetector, ServiceLoad
-from .candidates import ServiceEntries
+from .candidates import ServiceEntries, draw_by_hash
 
 # Requests in flight per slot up to which a zone keeps the flows of its clients. Half of
 # the slots are left for what arrives before the next loads.
@@ -39,7 +37,6 @@
 BURST_SMOOTHING_S = 0.5
 SIGNIFICANT_DEVIATIONS = 4.0
 _HASH_SEED = 1
-_HASH_SPACE = float(1 << 64)
 
 
 class ZoneLoad(NamedTuple):
@@ -155,7 +152,7 @@
         same answer at every host.
         """
         plan = self.plan(service_entries, now_s)
-        draw = xxh3_64_intdigest(flow, seed=_HASH_SEED) / _HASH_SPACE
+        draw = draw_by_hash(flow, _HASH_SEED)
         if draw >= plan.fraction:
             return None
         return _weighted_zone(plan.weights, draw / plan.fraction)
