Share the no-op observer and the client's packet between the test worlds

Cause: three worlds built the same packet of a client, and five classes the same methods that ignore what a zone finds. Change: both are in testbed/steeringparts.py.

--- a/testbed/admissionworld.py
+++ b/testbed/admissionworld.py
@@ -19,7 +19,6 @@
 from wisteriatiller.steering import (
     ConfigVersion,
     Forward,
-    Packet,
     PacketKind,
     Refuse,
     RequestKind,
@@ -30,17 +29,19 @@
     WeightedService,
 )
 from wisteriatiller.steering.directory import UpstreamDirectory
-from wisteriatiller.steering.evidence import ShareObserver, ZoneEvidence
+from wisteriatiller.steering.evidence import ZoneEvidence
 from wisteriatiller.steering.packets import RefusalReason
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.steering import FlowSteering
-from wisteriatiller.steering.upstreams import NO_TAG, Listing, Tag, upstream_tag
+from wisteriatiller.steering.upstreams import Listing, Tag, upstream_tag
 
 from .flowworld import SilentObserver
 from .steeringparts import (
     COPY_TIMES_S,
     OPENING_LIMIT_S,
+    NoOpShareObserver,
     VirtualScheduler,
+    client_packet,
     steering_settings,
     upstream as make_upstream,
 )
@@ -169,23 +170,6 @@
         return sum(shares) / max(1, len(shares))
 
 
-class NoShareObserver(ShareObserver):
-    def share_lowered(self, share):
-        pass
-
-    def share_restored(self, share):
-        pass
-
-    def pace_changed(self, change):
-        pass
-
-    def upstream_silent(self, silence):
-        pass
-
-    def upstream_answers_again(self, silence, reason, now_s):
-        pass
-
-
 class InformedEvidence(ZoneEvidence):
     """Also knows the silent upstreams that the detectors of all zones have found."""
 
@@ -281,7 +265,7 @@
             self.directory,
             self.steering.recorder,
             self.steering.findings,
-            NoShareObserver(),
+            NoOpShareObserver(),
             config,
         )
         self.is_restarted = False
@@ -454,16 +438,15 @@
             follower.open()
 
     def _steer(self, kind: PacketKind, payload_bytes: int, copy: int = 0):
-        tag = NO_TAG
-        if self._upstream is not None:
-            tag = upstream_tag(self._upstream.listed.upstream_id)
-        packet = Packet(
-            flow=self._flow,
-            service_address=_service_address(self.kind),
-            kind=kind,
-            tag=tag,
+        listed = None if self._upstream is None else self._upstream.listed
+        is_opening = kind is PacketKind.OPENING
+        packet = client_packet(
+            self._flow,
+            _service_address(self.kind),
+            kind,
+            listed,
             sequence=self._sequence,
-            acknowledged=copy if kind is PacketKind.OPENING else self._acknowledged,
+            acknowledged=copy if is_opening else self._acknowledged,
             payload_bytes=payload_bytes,
             retransmit_count=copy,
         )
--- a/testbed/flowworld.py
+++ b/testbed/flowworld.py
@@ -17,7 +17,6 @@
 from wisteriatiller.steering import (
     Forward,
     Listing,
-    Packet,
     PacketKind,
     Upstream,
 )
@@ -25,13 +24,13 @@
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.selection import UpstreamSelector
 from wisteriatiller.steering.steering import FlowSteering, SteeringObserver
-from wisteriatiller.steering.upstreams import NO_TAG, upstream_tag
 
 from .steeringparts import (
     COPY_TIMES_S,
     OPENING_LIMIT_S,
     SERVICE_ADDRESS,
     VirtualScheduler,
+    client_packet,
     route_config,
     steering_settings,
     upstream as make_upstream,
@@ -302,16 +301,15 @@
         self._world.finish(waited_s, self._sizes)
 
     def _steer(self, kind: PacketKind, payload_bytes: int, copy: int = 0):
-        tag = NO_TAG
-        if self._upstream is not None:
-            tag = upstream_tag(self._upstream.listed.upstream_id)
-        packet = Packet(
-            flow=self._flow,
-            service_address=SERVICE_ADDRESS,
-            kind=kind,
-            tag=tag,
+        listed = None if self._upstream is None else self._upstream.listed
+        is_opening = kind is PacketKind.OPENING
+        packet = client_packet(
+            self._flow,
+            SERVICE_ADDRESS,
+            kind,
+            listed,
             sequence=self._sequence,
-            acknowledged=copy if kind is PacketKind.OPENING else self._acknowledged,
+            acknowledged=copy if is_opening else self._acknowledged,
             payload_bytes=payload_bytes,
             retransmit_count=copy,
         )
--- a/testbed/steeringparts.py
+++ b/testbed/steeringparts.py
@@ -7,6 +7,7 @@
 from wisteriatiller.network.loop import Scheduler, Timer
 from wisteriatiller.steering import (
     ConfigVersion,
+    Packet,
     Route,
     RouteConfig,
     ServiceAddress,
@@ -15,6 +16,8 @@
     UpstreamState,
     WeightedService,
 )
+from wisteriatiller.steering.evidence import ShareObserver
+from wisteriatiller.steering.upstreams import NO_TAG, upstream_tag
 
 SERVICE_ADDRESS = ServiceAddress(bytes((198, 18, 0, 1, 1, 187)))
 # When a client sends its opening packets, and when it gives up.
@@ -22,6 +25,25 @@
 OPENING_LIMIT_S = 1.4
 
 
+class NoOpShareObserver(ShareObserver):
+    """Ignores changes of shares and silent upstreams."""
+
+    def upstream_silent(self, silence):
+        pass
+
+    def upstream_answers_again(self, silence, reason, now_s):
+        pass
+
+    def share_lowered(self, share):
+        pass
+
+    def share_restored(self, share):
+        pass
+
+    def pace_changed(self, change):
+        pass
+
+
 class VirtualScheduler(Scheduler):
     """Time that moves only when a test says so."""
 
@@ -89,3 +111,9 @@
     )
     route = Route("route", address, weighted)
     return RouteConfig(ConfigVersion(version), (route,), 15_000)
+
+
+def client_packet(flow, service_address, kind, listed, **fields):
+    """A client's packet, tagged with the upstream of its flow; None for no upstream."""
+    tag = NO_TAG if listed is None else upstream_tag(listed.upstream_id)
+    return Packet(flow, service_address, kind, tag, **fields)
--- a/testbed/unevenworld.py
+++ b/testbed/unevenworld.py
@@ -13,7 +13,7 @@
 
 from wisteriatiller.ids import Address
 from wisteriatiller.steering.directory import UpstreamDirectory
-from wisteriatiller.steering.evidence import ShareObserver, ZoneEvidence
+from wisteriatiller.steering.evidence import ZoneEvidence
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.selection import UpstreamSelector
 from wisteriatiller.steering.steering import FlowSteering
@@ -26,7 +26,7 @@
     Session,
     SilentObserver,
 )
-from .steeringparts import VirtualScheduler
+from .steeringparts import NoOpShareObserver, VirtualScheduler
 from .upstreamtotals import UpstreamTotals
 
 ZONES = 3
@@ -141,23 +141,6 @@
     busiest_to_mean: float
 
 
-class _NoObserver(ShareObserver):
-    def share_lowered(self, share):
-        pass
-
-    def share_restored(self, share):
-        pass
-
-    def pace_changed(self, change):
-        pass
-
-    def upstream_silent(self, silence):
-        pass
-
-    def upstream_answers_again(self, silence, reason, now_s):
-        pass
-
-
 class Placement(NamedTuple):
     """A new flow: the zones of its client and its upstream, as numbers."""
 
@@ -208,7 +191,7 @@
             directory,
             self.host.recorder,
             self.host.findings,
-            _NoObserver(),
+            NoOpShareObserver(),
             ConfigView(),
         )
 
--- a/testbed/warmupworld.py
+++ b/testbed/warmupworld.py
@@ -20,7 +20,6 @@
 from wisteriatiller.steering import (
     Forward,
     Listing,
-    Packet,
     PacketKind,
     Refuse,
     Upstream,
@@ -31,19 +30,19 @@
 from wisteriatiller.steering.evidence import (
     KnownHosts,
     PaceChange,
-    ShareObserver,
     ZoneEvidence,
 )
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.steering import FlowSteering
-from wisteriatiller.steering.upstreams import NO_TAG, upstream_tag
 
 from .flowworld import SilentObserver
 from .steeringparts import (
     COPY_TIMES_S,
     OPENING_LIMIT_S,
     SERVICE_ADDRESS,
+    NoOpShareObserver,
     VirtualScheduler,
+    client_packet,
     route_config,
     steering_settings,
     upstream as make_upstream,
@@ -96,25 +95,13 @@
     refusals: int
 
 
-class PaceLog(ShareObserver):
+class PaceLog(NoOpShareObserver):
     """Keeps the steps of all readers, with their times."""
 
     def __init__(self, clock: VirtualScheduler):
         self._clock = clock
         self.steps: list[tuple[float, PaceChange]] = []
 
-    def share_lowered(self, share):
-        pass
-
-    def share_restored(self, share):
-        pass
-
-    def upstream_silent(self, silence):
-        pass
-
-    def upstream_answers_again(self, silence, reason, now_s):
-        pass
-
     def pace_changed(self, change):
         self.steps.append((self._clock.now_s(), change))
 
@@ -373,16 +360,15 @@
         self._world.clock.call_later(RETRY_PAUSE_S, self._open)
 
     def _steer(self, kind: PacketKind, payload_bytes: int, copy: int = 0):
-        tag = NO_TAG
-        if self._upstream is not None:
-            tag = upstream_tag(self._upstream.listed.upstream_id)
-        packet = Packet(
-            flow=self._key,
-            service_address=SERVICE_ADDRESS,
-            kind=kind,
-            tag=tag,
+        listed = None if self._upstream is None else self._upstream.listed
+        is_opening = kind is PacketKind.OPENING
+        packet = client_packet(
+            self._key,
+            SERVICE_ADDRESS,
+            kind,
+            listed,
             sequence=self._sequence,
-            acknowledged=copy if kind is PacketKind.OPENING else self._acknowledged,
+            acknowledged=copy if is_opening else self._acknowledged,
             payload_bytes=payload_bytes,
             retransmit_count=copy,
         )
--- a/tests/silentzone.py
+++ b/tests/silentzone.py
@@ -8,7 +8,12 @@
 from collections import Counter, deque
 from enum import Enum
 
-from testbed.steeringparts import VirtualScheduler, steering_settings, upstream
+from testbed.steeringparts import (
+    NoOpShareObserver,
+    VirtualScheduler,
+    steering_settings,
+    upstream,
+)
 from tests.steeringharness import RecordingObserver, make_listing
 from wisteriatiller.ids import FlowKey, ServiceId
 from wisteriatiller.steering import (
@@ -22,7 +27,7 @@
     WeightedService,
 )
 from wisteriatiller.steering.directory import UpstreamDirectory
-from wisteriatiller.steering.evidence import ShareObserver, ZoneEvidence
+from wisteriatiller.steering.evidence import ZoneEvidence
 from wisteriatiller.steering.packets import Forward, Refuse
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.steering import FlowSteering
@@ -393,7 +398,7 @@
             self._zone.later(LINK_S, flow.reset)
 
 
-class SilentZone(ShareObserver):
+class SilentZone(NoOpShareObserver):
     """Hosts, upstreams and clients of one zone, on virtual time."""
 
     def __init__(
@@ -531,15 +536,6 @@
             self._open_flow(IDEMPOTENT if is_long else NON_IDEMPOTENT)
         self.later(self.random.expovariate(rate), self._ask)
 
-    def pace_changed(self, change):
-        pass
-
-    def share_lowered(self, share):
-        pass
-
-    def share_restored(self, share):
-        pass
-
     def upstream_silent(self, silence):
         self.verdicts.append(silence)
 
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -1,6 +1,6 @@
 """A simulated fleet of hosts that share reads of a fake store, on virtual time."""
 
-from testbed.steeringparts import steering_settings
+from testbed.steeringparts import NoOpShareObserver, steering_settings
 from tests.fakestore import FakeStore, FakeStoreState
 from wisteriatiller.network.loop import Scheduler
 from wisteriatiller.steering.configwatcher import ConfigWatcher
@@ -9,7 +9,6 @@
 from wisteriatiller.steering.evacuationupdates import EvacuationUpdater
 from wisteriatiller.steering.evidence import (
     FindingsView,
-    ShareObserver,
     UpstreamRecorder,
     ZoneEvidence,
 )
@@ -71,25 +70,6 @@
         self.rejected_listings += 1
 
 
-class NoOpShareObserver(ShareObserver):
-    """Ignores changes of shares and silent upstreams."""
-
-    def upstream_silent(self, silence):
-        pass
-
-    def upstream_answers_again(self, silence, reason, now_s):
-        pass
-
-    def share_lowered(self, share):
-        pass
-
-    def share_restored(self, share):
-        pass
-
-    def pace_changed(self, change):
-        pass
-
-
 class ProcessScheduler(Scheduler):
     """The scheduler of one process; timers due after ``stop`` do not run."""
 
--- a/tests/steps/silentupstreams_steps.py
+++ b/tests/steps/silentupstreams_steps.py
@@ -4,10 +4,9 @@
 
 from behave import given, then, when
 
-from testbed.steeringparts import steering_settings, upstream
+from testbed.steeringparts import NoOpShareObserver, steering_settings, upstream
 from tests.silentcases import HOST_CASES, UPSTREAM_CASES, make_unreliable, vanish
 from tests.silentzone import SilentZone
-from tests.steeringfakes import NoOpShareObserver
 from tests.steeringharness import flow_key, make_listing
 from wisteriatiller.ids import Address, UpstreamId, ZoneId
 from wisteriatiller.steering.directory import UpstreamDirectory
--- a/tests/steps/upstreamweights_steps.py
+++ b/tests/steps/upstreamweights_steps.py
@@ -5,9 +5,8 @@
 
 from behave import given, then, when
 
-from testbed.steeringparts import steering_settings, upstream
+from testbed.steeringparts import NoOpShareObserver, steering_settings, upstream
 from testbed.unevenworld import AS_PRINTED, SITES, Policy, UnevenWorld
-from tests.steeringfakes import NoOpShareObserver
 from tests.steeringharness import SteeringHarness, established_packet, make_listing
 from wisteriatiller.ids import Address, ZoneId
 from wisteriatiller.steering.directory import UpstreamDirectory
