--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -42,7 +42,7 @@
     }
 
 
-def manifest(version: int, routes: list[dict]) -> dict:
+def manifest(version: int, routes: list[dict], **service_changes) -> dict:
     services = [
         {
             "name": name,
@@ -50,6 +50,7 @@
             "max_conns": 4500,
             "protocol": "h1",
             "tls": False,
+            **service_changes,
         }
         for name in (SERVICE, OTHER_SERVICE)
     ]
@@ -69,7 +70,13 @@
 class Deployment:
     """Hosts of one zone before a stand-in of the platform."""
 
-    def __init__(self, case: Path, host_count: int, lag_s: float = 0.0):
+    def __init__(
+        self,
+        case: Path,
+        host_count: int,
+        lag_s: float = 0.0,
+        settings: dict[str, str] | None = None,
+    ):
         # Scripts that run side by side use different networks.
         net = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 200 + 20}"
         self.net = net
@@ -87,19 +94,23 @@
         self.backends: list[Backend] = []
         self.on_run = lambda backend, request, opening: None
         self.store_address = ""
+        # Fields of the settings that differ from the usual ones.
+        self.settings = settings or {}
         self._numbers = iter(range(0x2A, 0xFFFF))
         self._tasks: set[asyncio.Task] = set()
 
-    async def start(self, backend_count: int, routes: list[dict]) -> None:
+    async def start(
+        self, backend_count: int, routes: list[dict], **service_changes
+    ) -> None:
         self.store_address = await self.store.start(f"{self.net}.5")
-        self.store.put("op/config", manifest(4, routes))
+        self.store.put("op/config", manifest(4, routes, **service_changes))
         for _ in range(backend_count):
             await self.add_backend()
         await self.clients.start()
         self.spawn(self._beat())
         self.spawn(self.router.run())
         for host in self.hosts:
-            host.write_settings(self.store_address)
+            host.write_settings(self.store_address, **self.settings)
             host.start()
             await asyncio.sleep(random.uniform(0.0, START_SPREAD_S / len(self.hosts)))
         end_s = time.monotonic() + START_LIMIT_S
@@ -157,7 +168,7 @@
         while True:
             now_s = time.monotonic()
             for backend in self.backends:
-                if backend.state == "gone":
+                if backend.state == "gone" or backend.is_dark:
                     continue
                 due_s = next_s.setdefault(
                     backend, now_s + random.uniform(0.0, HEARTBEAT_S)
--- a/review/standins/flows.py
+++ b/review/standins/flows.py
@@ -63,6 +63,18 @@
         self._transport = None
         # (client ip, port, service ip, port): [own seq, opening, is open]
         self._flows: dict[tuple, list] = {}
+        # While it is dark, a backend answers nothing.
+        self.is_dark = False
+        self.cold_until_s = 0.0
+        # Called with the backend and the opening packet's data when a flow opens.
+        self.on_open: Callable = lambda backend, flow_key, opening: None
+
+    def start_again(self, cold_s: float) -> None:
+        """Begin a new lifetime under the same id, cold for a while."""
+        self._flows.clear()
+        self.born_ms = time.time_ns() // 1_000_000
+        self.cold_until_s = time.monotonic() + cold_s
+        self.is_dark = False
 
     @property
     def backend_id(self) -> str:
@@ -80,7 +92,9 @@
             "version": "v1",
             "concurrency": 2,
             "state": self.state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": max(
+                0, round(1000 * (self.cold_until_s - time.monotonic()))
+            ),
             "sequence": next(self._sequence),
             "born": self.born_ms,
         }
@@ -96,6 +110,8 @@
         self._transport.close()
 
     def datagram_received(self, data: bytes, sender) -> None:
+        if self.is_dark:
+            return
         intended = int.from_bytes(data[:8], "big")
         if intended not in (0, self.number):
             return
@@ -122,6 +138,7 @@
                 self._send(flow_key, echo, RST, ack, seq)
                 return
             flow[2] = True
+            self.on_open(self, flow_key, flow[1])
         if payload:
             request = payload.decode()
             self.on_run(self, request, flow[1])
