Percent-encode every value in a URL

Cause: the key after which a page begins was put into the URL as it is by the listing, and encoded by the other reader of pages only, with bytes that are no UTF-8 replaced. The store decoded another key than meant, so that the next page was empty and counted as the last one, or repeated the last one.

Change: network/targets.py makes all targets and encodes every value; lone surrogates are sent as the bytes that they stand for, and pages are compared by bytes. The question between hosts held the zone's name unencoded; it uses the same function. A page that is empty and truncated is an error. The limit of a response allows for a page of 1 MB, whatever the largest value is.

--- a/src/wisteriatiller/network/__init__.py
+++ b/src/wisteriatiller/network/__init__.py
@@ -10,6 +10,7 @@
 )
 from .httpserver import HttpServer, Page
 from .loop import PAUSE_THRESHOLD_S, EventLoop, Scheduler, Timer
+from .targets import percent_decoded, percent_encoded, raw_bytes, request_target
 
 __all__ = [
     "PAUSE_THRESHOLD_S",
@@ -24,4 +25,8 @@
     "Page",
     "Scheduler",
     "Timer",
+    "percent_decoded",
+    "percent_encoded",
+    "raw_bytes",
+    "request_target",
 ]
--- a/src/wisteriatiller/platform/operatorvalues.py
+++ b/src/wisteriatiller/platform/operatorvalues.py
@@ -4,7 +4,6 @@
 """
 
 import base64
-import re
 from collections.abc import Iterable
 
 from wisteriatiller.ids import StorePosition, ZoneId
@@ -31,7 +30,6 @@
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
-_PLAIN_KEY = re.compile(r"[\w./-]*", re.ASCII)
 
 
 class OperatorValuesBuilder(PageBuilder):
@@ -57,14 +55,6 @@
         answer = decode_config_value(position, self._config_item)
         return answer._replace(evacuations=evacuations)
 
-    def quoted_last_key(self) -> str:
-        if _PLAIN_KEY.fullmatch(self.last_key):
-            return self.last_key
-        # Imported late, since only keys of other programs need it.
-        from urllib.parse import quote
-
-        return quote(self.last_key, errors="replace")
-
     def _add_item(self, item: dict) -> None:
         key = str(item["key"])
         if key == CONFIG_KEY:
--- a/src/wisteriatiller/platform/pages.py
+++ b/src/wisteriatiller/platform/pages.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 
 from wisteriatiller.ids import NO_EPOCH, Revision, StoreEpoch
+from wisteriatiller.network import raw_bytes
 
 
 class PageBuilder(ABC):
@@ -27,21 +28,19 @@
         self.epoch = epoch
         self._page_revisions.append(Revision(int(body["store_revision"])))
         items = body["items"]
-        if items and items[0]["key"] <= self.last_key:
+        if items and raw_bytes(items[0]["key"]) <= raw_bytes(self.last_key):
             raise ValueError(
-                f"page does not continue the last one: {items[0]['key']!r}"
+                f"page does not continue the last one: {items[0]['key']!a}"
             )
         for item in items:
             self._add_item(item)
-        if not body["truncated"] or not items:
+        if not body["truncated"]:
             return True
+        if not items:
+            raise ValueError(f"truncated page without items after {self.last_key!a}")
         self.last_key = items[-1]["key"]
         return False
 
-    def quoted_last_key(self) -> str:
-        """Return the last key as it stands in a URL."""
-        return self.last_key
-
     @abstractmethod
     def build(self) -> object:
         """Return what the pages hold, after the last one."""
--- a/src/wisteriatiller/platform/store.py
+++ b/src/wisteriatiller/platform/store.py
@@ -19,6 +19,7 @@
     HttpRequest,
     HttpResponse,
     HttpResult,
+    request_target,
 )
 from wisteriatiller.steering import Listing, SteeringSettings, StoreReader, Upstream
 from wisteriatiller.steering.ports import (
@@ -49,8 +50,10 @@
 EPOCH_HEADER = "store-era"
 # Messages between hosts hold integers of 64 bits.
 MAX_EPOCH_DIGITS = 15
-# Limit of a response body as a multiple of the largest value; allows for base64, JSON
-# and pages of many values.
+# A page holds about 1 MB, or one value.
+PAGE_BYTES = 1_000_000
+# Limit of a response body as a multiple of a page or of the largest value; allows for
+# base64, JSON and long keys.
 BODY_SIZE_FACTOR = 4
 
 
@@ -80,7 +83,7 @@
             return
         self._get(
             self._config_client,
-            f"/kv-key?key={CONFIG_KEY}",
+            request_target("/kv-key", key=CONFIG_KEY),
             self._settings.store_timeout_s,
             lambda result: on_answer(_parse_config_response(result)),
         )
@@ -92,7 +95,7 @@
             prefix, answer_from = OPERATOR_PREFIX, answer_from_events
         self._get(
             self._config_client,
-            f"/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}",
+            request_target("/kv-watch", prefix=prefix, after=after, wait_ms=wait_ms),
             wait_s + self._settings.watch_slack_s,
             lambda result: on_answer(_parse_watch_response(result, answer_from)),
         )
@@ -121,13 +124,13 @@
             else:
                 self._request_page(client, builder, on_answer)
 
-        target = f"/kv-range?prefix={builder.prefix}"
+        fields = {"prefix": builder.prefix}
         if not builder.is_current:
-            target += "&serializable=1"
+            fields["serializable"] = "1"
         if builder.last_key:
-            target += f"&after={builder.quoted_last_key()}"
-        timeout_s = self._settings.store_timeout_s
-        self._get(client, target, timeout_s, on_page)
+            fields["after"] = builder.last_key
+        target = request_target("/kv-range", **fields)
+        self._get(client, target, self._settings.store_timeout_s, on_page)
 
     def _get(
         self,
@@ -139,8 +142,8 @@
         client.request(HttpRequest(target, timeout_s), on_result)
 
     def _make_client(self) -> HttpClient:
-        max_body_bytes = BODY_SIZE_FACTOR * self._settings.max_value_bytes
-        return HttpClient(self._loop, self._address, max_body_bytes)
+        largest_bytes = max(PAGE_BYTES, self._settings.max_value_bytes)
+        return HttpClient(self._loop, self._address, BODY_SIZE_FACTOR * largest_bytes)
 
 
 class ListingBuilder(PageBuilder):
@@ -180,7 +183,9 @@
     if result.status != 200:
         return StoreFailure(StoreFailureReason.REFUSED, f"status {result.status}")
     try:
-        body = json.loads(result.body)
+        # A key may hold bytes that are no UTF-8, and control characters.
+        text = result.body.decode(errors="surrogateescape")
+        body = json.loads(text, strict=False)
     except (ValueError, RecursionError) as error:
         return StoreFailure(StoreFailureReason.UNREADABLE, str(error))
     if not isinstance(body, dict):
--- a/src/wisteriatiller/steering/snapshots.py
+++ b/src/wisteriatiller/steering/snapshots.py
@@ -20,6 +20,7 @@
     UpstreamId,
     ZoneId,
 )
+from wisteriatiller.network import percent_decoded, percent_encoded
 
 from .evacuation import EvacuationState
 from .evidence import (
@@ -106,6 +107,7 @@
     ``10.1.0.10:8166,quimper-a,7,1.530,9120434,1,0,0,``
     """
     fields = request._replace(
+        zone=percent_encoded(request.zone),
         directory_position=".".join(map(str, request.directory_position)),
         wants_peers=int(request.wants_peers),
         wants_large_config=int(request.wants_large_config),
@@ -123,7 +125,7 @@
         wants_peers, wants_large, wants_only_findings, report = wants
         return SnapshotRequest(
             address=Address.parse(address),
-            zone=ZoneId(zone),
+            zone=ZoneId(percent_decoded(zone)),
             config_version=ConfigVersion(int(version)),
             directory_position=StorePosition(StoreEpoch(epoch), Revision(revision)),
             listing_version=ListingVersion(int(listing)),
--- a/testbed/platformstandin.py
+++ b/testbed/platformstandin.py
@@ -20,6 +20,7 @@
 HEADER = struct.Struct(">IIHIHHIIBBI")
 SYN, ACK, FIN, RST = 8, 16, 2, 64
 PAGE_ITEMS = 50
+MAX_PAGE_BYTES = 1_000_000
 TRICKLE_PARTS = 5
 TRICKLE_PAUSE_S = 0.3
 
@@ -47,11 +48,15 @@
 class StandInStore:
     """Items with revisions, served from a thread of its own.
 
-    ``epoch`` is sent with each answer; it counts the restores from 1.
+    ``epoch`` is sent with each answer; it counts the restores from 1. A key stands for
+    the bytes that it is made of, in which lone surrogates are bytes that are no UTF-8.
     """
 
     def __init__(self, ip: str, port: int = 0):
         self.mode = StoreMode.NORMAL
+        # How many items a page holds at most, and the paths whose calls fail.
+        self.page_items = PAGE_ITEMS
+        self.refused_paths: set[str] = set()
         self.history_from = 0
         self.calls: list[str] = []
         self._revision = 1
@@ -100,10 +105,24 @@
         }
 
     def page(self, prefix: str, after: str) -> dict:
-        keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
+        keys = sorted(
+            (
+                key
+                for key in self._items
+                if key.startswith(prefix) and _key_bytes(key) > _key_bytes(after)
+            ),
+            key=_key_bytes,
+        )
+        items, size = [], 0
+        for key in keys[: self.page_items]:
+            item = self.item(key)
+            size += len(item["value"])
+            if items and size > MAX_PAGE_BYTES:
+                break
+            items.append(item)
         return {
-            "items": [self.item(key) for key in keys[:PAGE_ITEMS]],
-            "truncated": len(keys) > PAGE_ITEMS,
+            "items": items,
+            "truncated": len(items) < len(keys),
             "store_revision": self._revision,
         }
 
@@ -210,13 +229,21 @@
         self.store.calls.append(self.request.uri)
         if self.store.mode is StoreMode.SILENT:
             await asyncio.sleep(3600)
-        elif self.store.mode is StoreMode.REFUSING:
+        elif (
+            self.store.mode is StoreMode.REFUSING
+            or self.request.path in self.store.refused_paths
+        ):
             self.send_error(503)
         elif self.store.mode is StoreMode.GARBLED:
             self.finish(b"\x00not json")
         else:
             await self.answer()
 
+    def value_of(self, name: str, default: str = "") -> str:
+        """Return a field of the query as it was sent."""
+        values = self.request.query_arguments.get(name)
+        return values[0].decode(errors="surrogateescape") if values else default
+
     async def give(self, body: dict):
         data = json.dumps(body).encode()
         self.set_header("Content-Length", str(len(data)))
@@ -235,7 +262,7 @@
 
 class _KeyHandler(_StoreHandler):
     async def answer(self):
-        item = self.store.item(self.get_query_argument("key"))
+        item = self.store.item(self.value_of("key"))
         if item is None:
             self.send_error(404)
         else:
@@ -244,15 +271,15 @@
 
 class _RangeHandler(_StoreHandler):
     async def answer(self):
-        prefix = self.get_query_argument("prefix")
-        await self.give(self.store.page(prefix, self.get_query_argument("after", "")))
+        page = self.store.page(self.value_of("prefix"), self.value_of("after"))
+        await self.give(page)
 
 
 class _WatchHandler(_StoreHandler):
     async def answer(self):
-        after = int(self.get_query_argument("after"))
-        wait_s = int(self.get_query_argument("wait_ms")) / 1000
-        prefix = self.get_query_argument("prefix")
+        after = int(self.value_of("after"))
+        wait_s = int(self.value_of("wait_ms")) / 1000
+        prefix = self.value_of("prefix")
         events = await self.store.wait_events(prefix, after, wait_s)
         if events is None:
             self.send_error(410)
@@ -261,6 +288,10 @@
             await self.give(events)
 
 
+def _key_bytes(key: str) -> bytes:
+    return key.encode(errors="surrogateescape")
+
+
 def pack_packet(
     source: str,
     service: str,
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -22,6 +22,7 @@
     settings_text,
 )
 from testbed.steeringparts import steering_settings, upstream
+from tests.storecalls import run_call
 from wisteriatiller.ids import Address
 from wisteriatiller.network import (
     EventLoop,
@@ -391,18 +392,6 @@
     context.store.mode = StoreMode(mode)
 
 
-def run_call(context, start):
-    """Run the loop until a call of the client is answered; return the answer."""
-    answers = []
-    started_s = time.monotonic()
-    start(answers.append)
-    while not answers and time.monotonic() - started_s < 10.0:
-        context.loop.run_once()
-    context.waited_s = time.monotonic() - started_s
-    (answer,) = answers
-    return answer
-
-
 @when("the store client lists the upstreams")
 def when_client_lists(context):
     context.answer = run_call(
