Use no entry of which any named field is malformed

Flows would go to upstreams that do not exist.

Ruled out: a crash or a stalled listing.

Cause: the decoder checked the fields that it uses, with int() and strip(), which take more than the format has; names of any length were passed on between hosts.

--- a/src/wisteriatiller/platform/packets.py
+++ b/src/wisteriatiller/platform/packets.py
@@ -1,5 +1,6 @@
 """The wire format of the platform's packets."""
 
+import re
 import struct
 from functools import lru_cache
 
@@ -27,6 +28,7 @@
 # src, sport, dst, dport of a client's packet
 _FLOW_KEY = struct.Struct(">IHIH")
 _UPSTREAM_ID = struct.Struct(">Q")
+_HEX_NUMBER = re.compile(r"0*[0-9a-fA-F]{1,16}")
 
 
 @lru_cache(UPSTREAM_NUMBER_CACHE_SIZE)
@@ -39,10 +41,11 @@
     >>> upstream_number("i-7f3a91c2") == 0x7F3A91C2
     True
     """
-    number = int(upstream_id.rpartition("-")[2], 16)
-    if not 0 < number < 1 << 64:
-        raise ValueError(f"no 64-bit number in {upstream_id!r}")
-    return number
+    digits = upstream_id.rpartition("-")[2]
+    # int() would also accept signs, spaces, underscores, a prefix and other digits.
+    if not _HEX_NUMBER.fullmatch(digits) or not int(digits, 16):
+        raise ValueError(f"no 64-bit number in {upstream_id!a}")
+    return int(digits, 16)
 
 
 class FlowPacketCodec(PacketCodec):
--- a/src/wisteriatiller/platform/storedvalues.py
+++ b/src/wisteriatiller/platform/storedvalues.py
@@ -21,8 +21,11 @@
 DEFAULT_IDLE_TIMEOUT_MS = 60_000
 # JSON implementations agree on integers up to 2**53.
 MAX_EXACT_INTEGER = 1 << 53
-# Names of zones are passed on in each message between hosts.
-MAX_ZONE_NAME_CHARS = 100
+# Names of zones and services are passed on in messages between hosts.
+MAX_NAME_CHARS = 100
+# More slots than any upstream has would draw all new flows of its service.
+MAX_SLOTS = 100_000
+MAX_DESCRIBED_CHARS = 60
 # "safe" requests may be repeated, "unsafe" ones may run once at most.
 REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -49,24 +52,27 @@
 def decode_upstream(upstream_id: UpstreamId, data: bytes) -> Upstream:
     """Decode an upstream entry.
 
-    Raises ``StoredValueError`` if a field is missing or invalid.
+    Raises ``StoredValueError`` if a field is missing or invalid, also one that is not
+    used: another writer has then left the entry.
     """
     entry = parse_object(data)
     if not is_valid_upstream_id(upstream_id):
         raise StoredValueError(f"invalid upstream id {upstream_id!a}")
     state = _STATES.get(_typed_field(entry, "state", str))
     if state is None:
-        raise StoredValueError(f"state: found {entry['state']!r}")
+        raise StoredValueError(f"state: found {_described(entry['state'])}")
     slots = _typed_field(entry, "concurrency", int)
-    if slots < 1:
-        raise StoredValueError(f"concurrency: found {slots}, expected at least 1")
+    if not 1 <= slots <= MAX_SLOTS:
+        raise StoredValueError(f"concurrency: found {slots}, expected 1 to {MAX_SLOTS}")
+    _typed_field(entry, "version", str)
+    _typed_field(entry, "sequence", int)
     # "born" is the start of this lifetime, in milliseconds of Unix time.
     started_ms = _typed_field(entry, "born", int) if "born" in entry else 0
     return Upstream(
         upstream_id=upstream_id,
-        service=ServiceId(_typed_field(entry, "service", str)),
+        service=ServiceId(_name_field(entry, "service")),
         address=_parse_address(_typed_field(entry, "address", str)),
-        zone=ZoneId(_typed_field(entry, "zone", str)),
+        zone=ZoneId(_name_field(entry, "zone")),
         slots=slots,
         state=state,
         cold_for_ms=int(_typed_field(entry, "warmup_left_ms", (int, float))),
@@ -79,7 +85,7 @@
 
     Raises ``StoredValueError`` if it cannot be the name of a zone.
     """
-    is_short = 0 < len(name) <= MAX_ZONE_NAME_CHARS
+    is_short = 0 < len(name) <= MAX_NAME_CHARS
     if not is_short or "/" in name or not name.isprintable():
         raise StoredValueError(f"invalid zone name {name!a}")
     return ZoneId(name)
@@ -128,11 +134,15 @@
     host = _parse_ip(_typed_field(route, "host", str))
     port = _typed_field(route, "prefix", str).strip("/")
     if not port.isdigit() or not 0 < int(port) < 65_536:
-        raise StoredValueError(f"prefix: found {route['prefix']!r}, expected a port")
+        raise StoredValueError(
+            f"prefix: found {_described(route['prefix'])}, expected a port"
+        )
     split = route.get("traffic_split")
     if split:
         if not isinstance(split, list):
-            raise StoredValueError(f"traffic_split: found {split!a}, expected a list")
+            raise StoredValueError(
+                f"traffic_split: found {_described(split)}, expected a list"
+            )
         services = tuple(_decode_weighted_service(part) for part in split)
     else:
         services = (
@@ -174,7 +184,14 @@
     value = fields.get(name)
     is_expected = isinstance(value, expected) and not isinstance(value, bool)
     if not is_expected or not _is_serializable(value):
-        raise StoredValueError(f"{name}: missing or invalid, found {value!a}")
+        raise StoredValueError(f"{name}: missing or invalid, found {_described(value)}")
+    return value
+
+
+def _name_field(fields: dict, name: str) -> str:
+    value = _typed_field(fields, name, str)
+    if len(value) > MAX_NAME_CHARS:
+        raise StoredValueError(f"{name}: found {len(value)} characters")
     return value
 
 
@@ -198,6 +215,13 @@
     return True
 
 
+def _described(value: object) -> str:
+    """Return the beginning of a value, or the type of one that may be nested."""
+    if isinstance(value, (list, dict)):
+        return f"a {type(value).__name__}"
+    return ascii(value)[:MAX_DESCRIBED_CHARS]
+
+
 def _is_encodable(text: str) -> bool:
     try:
         text.encode()
@@ -210,15 +234,18 @@
     try:
         address = Address.parse(text)
     except ValueError:
-        raise StoredValueError(f"address: found {text!r}, expected IP:PORT") from None
+        raise StoredValueError(
+            f"address: found {_described(text)}, expected IP:PORT"
+        ) from None
     _parse_ip(address.ip)
-    if not 0 < address.port < 65_536:
-        raise StoredValueError(f"address: found {text!r}, expected IP:PORT")
+    # int() accepts signs, spaces, underscores and other digits.
+    if not 0 < address.port < 65_536 or text != str(address):
+        raise StoredValueError(f"address: found {_described(text)}, expected IP:PORT")
     return address
 
 
 def _parse_ip(text: str) -> bytes:
     try:
         return socket.inet_pton(socket.AF_INET, text)
-    except (OSError, UnicodeEncodeError):
-        raise StoredValueError(f"not an IPv4 address: {text!r}") from None
+    except (OSError, ValueError):
+        raise StoredValueError(f"not an IPv4 address: {_described(text)}") from None
--- a/tests/platformadapter.feature
+++ b/tests/platformadapter.feature
@@ -36,6 +36,15 @@
       | address        | "nowhere"     |
       | address        | "10.0.0.1:0"  |
       | address        | 7             |
+      | address        | "10.0.0.1:65536" |
+      | address        | "10.0.0.1:99999999999999999999" |
+      | address        | "10.0.0.1:-1" |
+      | address        | "10.0.0.1:8_0" |
+      | address        | "10.0.0.1: 80" |
+      | address        | "10.0.0.1:\u0668\u0660" |
+      | address        | "010.0.0.1:80" |
+      | address        | "[10.0.0.1]:80" |
+      | address        | "10.0.0.1\u0000:80" |
       | zone           | missing       |
       | state          | "asleep"      |
       | state          | ["ready"]     |
@@ -45,6 +54,20 @@
       | warmup_left_ms | null          |
       | warmup_left_ms | Infinity      |
       | warmup_left_ms | NaN           |
+      | concurrency    | 2.0           |
+      | concurrency    | 1000000000    |
+      | version        | missing       |
+      | version        | null          |
+      | version        | 7             |
+      | version        | ["v1"]        |
+      | version        | "\ud800"      |
+      | sequence       | missing       |
+      | sequence       | "4"           |
+      | sequence       | 4.5           |
+      | sequence       | true          |
+      | sequence       | [4]           |
+      | sequence       | 100000000000000000000 |
+      | born           | null          |
       | born           | 1.5           |
       | born           | "yesterday"   |
       | born           | 100000000000000000000 |
@@ -54,6 +77,44 @@
       | service        | "\ud800"      |
       | zone           | "\ud800"      |
 
+  Scenario Outline: An entry with a name that is too long is rejected
+    # Guards against a name of another writer that fills the messages between hosts, so
+    # that no host can follow another one.
+    Given a valid entry whose <field> has 100000 characters
+    Then the entry is rejected and the next one is decoded
+
+    Examples:
+      | field   |
+      | service |
+      | zone    |
+
+  Scenario Outline: An entry is rejected at any depth of nesting
+    # Guards against a limit of recursion that is reached while a value is described.
+    Then an entry in which <field> is nested up to 1100 times is rejected or decoded
+
+    Examples:
+      | field    |
+      | service  |
+      | version  |
+      | sequence |
+      | other    |
+
+  Scenario Outline: A key that only resembles that of an upstream is ignored
+    # Guards against an entry whose packets would bear the number of another upstream.
+    Given the key of an entry is <key>
+    Then the listing has neither an upstream nor an unreadable one
+
+    Examples:
+      | key                  |
+      | "servers/i-0x7f"     |
+      | "servers/i-7_f"      |
+      | "servers/i- 7f"      |
+      | "servers/i-+7f"      |
+      | "servers/i-\uff17f"  |
+      | "servers/i-"         |
+      | "servers/i-0"        |
+      | "servers/i-10000000000000000" |
+
   Scenario: An entry whose key cannot be encoded is ignored
     # Guards against another writer's key that crashes the process when it is logged or
     # put into a snapshot.
--- a/tests/steps/evacuatedflows_steps.py
+++ b/tests/steps/evacuatedflows_steps.py
@@ -22,7 +22,7 @@
     run_command,
     start_host,
 )
-from tests.steps.platformadapter_steps import run_call
+from tests.storecalls import run_call
 from wisteriatiller.ids import Address
 from wisteriatiller.network import EventLoop
 from wisteriatiller.platform.store import PlatformStore
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -125,6 +125,23 @@
         context.entry[field] = json.loads(value)
 
 
+@given("a valid entry whose {field} has {length:d} characters")
+def given_long_name(context, field, length):
+    context.entry = entry("stock", ADDRESS) | {field: length * "n"}
+
+
+@then(
+    "an entry in which {field} is nested up to {depth:d} times is rejected or decoded"
+)
+def then_any_depth(context, field, depth):
+    parts = json.dumps(entry("stock", ADDRESS) | {field: "@"}).split('"@"')
+    for opening, closing in (("[", "]"), ('{"a":', "}")):
+        for level in range(1, depth):
+            value = f"{opening * level}1{closing * level}"
+            is_rejected = is_entry_rejected(value.join(parts).encode())
+            assert is_rejected or field == "other", level
+
+
 @given("the key of an entry is {key}")
 def given_key(context, key):
     data = json.dumps(entry("stock", ADDRESS)).encode()
