Ignore SIGHUP until a starting host can handle it

Cause: SIGHUP had its default action until the settings were read and the host was built. The file was watched only from then on, so that a change in between could be missed for good.

Change: deploy/host.py ignores the signal first of all; the version of the file is taken before it is read, and the first look at it comes with the start of the loop.

--- a/deploy/host.py
+++ b/deploy/host.py
@@ -1,8 +1,16 @@
 """Starts a host on the users' platform; ``python -m`` would load more first."""
 
+import signal
 import sys
 
-from wisteriatiller.platform.modulebundle import bundle_path, install_bundle
+# The default action would end the process. The settings are read after this, and a
+# change while the host starts is found by a look at the file.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from wisteriatiller.platform.modulebundle import (  # noqa: E402
+    bundle_path,
+    install_bundle,
+)
 
 install_bundle(bundle_path())
 
--- a/src/wisteriatiller/platform/process.py
+++ b/src/wisteriatiller/platform/process.py
@@ -17,6 +17,8 @@
 
 EXIT_BAD_SETTINGS = 2
 SETTINGS_CHECK_INTERVAL_S = 5.0
+# The time of the last change and the size.
+FileVersion = tuple[int, int]
 
 
 def run(data_socket: socket.socket | None = None) -> int:
@@ -25,6 +27,7 @@
     ``data_socket`` is used if the socket for packets is bound already.
     """
     path = settings_path()
+    version = _file_version(path)
     try:
         settings = read_settings(path)
     except SettingsFileError as error:
@@ -45,15 +48,23 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: host.stop(loop.stop))
     loop.add_signal_handler(signal.SIGHUP, reload)
-    watch_file(loop, path, reload)
+    watch_file(loop, path, version, reload)
     host.start()
     loop.run()
     return 0
 
 
-def watch_file(loop: EventLoop, path: str, on_change: Callable[[], None]) -> None:
-    """Poll a file and call back after changes, since not each comes with a SIGHUP."""
-    last_version = _file_version(path)
+def watch_file(
+    loop: EventLoop,
+    path: str,
+    last_version: FileVersion | None,
+    on_change: Callable[[], None],
+) -> None:
+    """Poll a file and call back after changes, since not each comes with a SIGHUP.
+
+    ``last_version`` is from before the file was read, so that a change since then is
+    found by the first check, which comes at once.
+    """
 
     def check() -> None:
         nonlocal last_version
@@ -63,10 +74,10 @@
             on_change()
         loop.call_later(SETTINGS_CHECK_INTERVAL_S, check)
 
-    loop.call_later(SETTINGS_CHECK_INTERVAL_S, check)
+    loop.call_later(0.0, check)
 
 
-def _file_version(path: str) -> tuple[int, int] | None:
+def _file_version(path: str) -> FileVersion | None:
     try:
         status = os.stat(path)
     except OSError:
--- a/tests/hostprocess.feature
+++ b/tests/hostprocess.feature
@@ -53,6 +53,19 @@
     And the settings file names another seed and 6 seconds pass
     Then the log has a line settings_reloaded changed=seeds
 
+  Scenario: A host that is told of changed settings while it starts goes on
+    # Review/4. Guards against a process that SIGHUP ends until it has its handler.
+    Given a stand-in store
+    When a host process starts 5 times, gets SIGHUP all the while and becomes ready
+    Then none of the processes has ended
+
+  Scenario: Settings that change while a host starts are applied
+    # Guards against a change that is missed for good, since it came after the settings
+    # were read and before the file was watched.
+    Given a stand-in store
+    When a host process starts 5 times and its settings name another seed meanwhile
+    Then each of them knows the new seed within 1 second
+
   Scenario: A host whose log pipe is full does not block
     # Guards against log writes that block the process while nobody reads the pipe.
     Given a stand-in store and a host process whose log pipe is not read
--- a/tests/steps/hostprocess_steps.py
+++ b/tests/steps/hostprocess_steps.py
@@ -131,6 +131,66 @@
     start_host(context)
 
 
+@given("a stand-in store")
+def given_store_only(context):
+    context.started = []
+
+
+def start_host_and_wait_bound(context):
+    """Start a host; return once its socket for packets is bound."""
+    start_host(context)
+    ip = int.from_bytes(socket.inet_aton(context.host.ip), sys.byteorder)
+    wanted = f"{ip:08X}:{8172:04X}"
+    end_s = time.monotonic() + START_TIMEOUT_S
+    while wanted not in Path("/proc/net/udp").read_text():
+        assert time.monotonic() < end_s, context.host.error_path.read_text()
+        time.sleep(0.001)
+    return context.host
+
+
+@when(
+    "a host process starts {count:d} times, gets SIGHUP all the while and becomes ready"
+)
+def when_signalled_at_start(context, count):
+    for _ in range(count):
+        host = start_host_and_wait_bound(context)
+        context.started.append(host)
+        end_s = time.monotonic() + START_TIMEOUT_S
+        while host.page(8167, "/ready")[0] != 200 and host.process.poll() is None:
+            assert time.monotonic() < end_s
+            host.process.send_signal(signal.SIGHUP)
+            time.sleep(0.002)
+
+
+@then("none of the processes has ended")
+def then_none_ended(context):
+    ended = [host.process.poll() for host in context.started]
+    assert ended == [None] * len(ended), ended
+
+
+@when(
+    "a host process starts {count:d} times and its settings name another seed meanwhile"
+)
+def when_changed_at_start(context, count):
+    for number in range(count):
+        host = start_host_and_wait_bound(context)
+        context.started.append(host)
+        # The change comes at another moment of the start each time.
+        time.sleep(0.015 * number)
+        text = settings_text(host.ip, host.store.address, seeds=f"{host.ip}:7999")
+        host.settings_path.write_text(text)
+        host.process.send_signal(signal.SIGHUP)
+        host.wait_ready(200)
+        time.sleep(1.0)
+
+
+@then("each of them knows the new seed within 1 second")
+def then_new_seed(context):
+    for host in context.started:
+        log = host.log_path.read_text()
+        assert "seeds=1" in log or "changed=seeds" in log, log[:2000]
+
+
 @given("a stand-in store and a host process without a zone")
 def given_no_zone(context):
     start_host(context, zone=None)
