Let trials of limited upstreams need a quota

Cause: while its entry did not say cold, each host that suspected an upstream gave it a trial of its own, also after the zone's reader had lent the trial to one host.

Change: trials pass the same limit as other openings. The separate rule for trials is gone.

--- a/src/wisteriatiller/steering/selection/selector.py
+++ b/src/wisteriatiller/steering/selection/selector.py
@@ -119,16 +119,11 @@
         overflow = self._overflow_pool(service_entries, flow, excluded, now_s)
         candidates = self._silent_trials.filter(overflow or sampled, now_s)
         candidates = _untried(candidates, excluded)
-        pool = self._warmup_limit.allowed(candidates, now_s)
-        pool = pool or self._warmup_limit.allowed(entries, now_s)
+        allowed = self._warmup_limit.allowed(candidates, now_s)
+        pool = allowed or self._warmup_limit.allowed(entries, now_s)
         if not pool:
             return None
-        on_trial = [
-            entry
-            for entry in candidates
-            if self._warmup_limit.allows_trial(entry, now_s)
-        ]
-        trial = self._trials.pick(on_trial, excluded, is_burst, now_s)
+        trial = self._trials.pick(allowed, excluded, is_burst, now_s)
         if trial is not None:
             return Selection(trial, len(pool), True, bool(overflow))
         trusted = [entry for entry in pool if self._is_trusted(entry)] or pool
--- a/src/wisteriatiller/steering/selection/warmuplimit.py
+++ b/src/wisteriatiller/steering/selection/warmuplimit.py
@@ -48,21 +48,16 @@
         return [entry for entry in entries if self.allows(entry, now_s)]
 
     def allows(self, entry: DirectoryEntry, now_s: float) -> bool:
-        """Whether an upstream may get an opening packet now."""
+        """Whether an upstream may get an opening packet now, also as a trial.
+
+        One that does not answer may return cold at any moment, before its entry says
+        so. Its zone's reader then lends a quota for trials to one host.
+        """
         if not self.is_limited(entry, now_s):
             return True
         quota = self._findings.warmup_quota(entry.tag, now_s)
         return self._recent_count(entry.tag, now_s) < quota
 
-    def allows_trial(self, entry: DirectoryEntry, now_s: float) -> bool:
-        """Whether a suspect may get a trial flow now.
-
-        An upstream that may only become cold needs trials to show that it answers.
-        """
-        if not self._has_limit(entry.upstream.service):
-            return True
-        return not self._is_cold(entry, now_s) or self.allows(entry, now_s)
-
     def pick_due(
         self, entries: Sequence[DirectoryEntry], flow: FlowKey, now_s: float
     ) -> DirectoryEntry | None:
