--- a/src/wisteriatiller/steering/host.py
+++ b/src/wisteriatiller/steering/host.py
@@ -24,7 +24,8 @@
 from .sharedstate import SharedState
 from .sharing import ReadSharing
 from .snapshotclient import SNAPSHOT_PATH, HttpSnapshotClient
-from .snapshots import SnapshotEncoder, decode_request
+from .snapshotrequests import decode_request
+from .snapshots import SnapshotEncoder
 from .status import steering_status
 from .steering import FlowSteering
 from .storepolling import StateObserver
--- a/src/wisteriatiller/steering/peers.py
+++ b/src/wisteriatiller/steering/peers.py
@@ -7,7 +7,8 @@
 from wisteriatiller.ids import Address, ZoneId
 
 from .evidence import KnownHosts
-from .snapshots import Snapshot, SnapshotRequest
+from .snapshotrequests import SnapshotRequest
+from .snapshots import Snapshot
 
 # Hosts of the own zone share reads of the store. Of every other zone only a few are
 # kept: some to ask during a store outage, and the first ones in reader order, which a
--- a/src/wisteriatiller/steering/sharedstate.py
+++ b/src/wisteriatiller/steering/sharedstate.py
@@ -10,7 +10,8 @@
 from .peers import Peer, PeerRegistry
 from .routes import ConfigView, RouteConfig
 from .settings import SteeringSettings
-from .snapshots import Snapshot, SnapshotRequest
+from .snapshotrequests import SnapshotRequest
+from .snapshots import Snapshot
 from .upstreams import ListingDelta, ListingVersion
 
 # An older listing shows that the host which reads it has lost the store.
--- a/src/wisteriatiller/steering/sharing.py
+++ b/src/wisteriatiller/steering/sharing.py
@@ -21,12 +21,12 @@
 from .peers import Peer, SnapshotClient
 from .settings import SteeringSettings
 from .sharedstate import SharedState, StateAges
-from .snapshots import Snapshot, SnapshotRequest
+from .snapshotapplier import SnapshotApplier
+from .snapshotrequests import SnapshotRequest
+from .snapshots import Snapshot
 from .storepolling import StateObserver
 from .zoneexchange import ZoneExchange
 
-# Older state in a snapshot is ignored, since it is too old to act on.
-MAX_SNAPSHOT_AGE_S = 30.0
 # How long a starting host waits for peers before it reads the store. A live seed
 # answers sooner, even on a small and busy machine.
 STARTUP_WAIT_S = 0.1
@@ -72,7 +72,9 @@
         self._config_watcher, self._directory_poller = pollers
         self._evacuations = evacuations
         self._directory_poller.on_listing_read = self._resume_config_watch
-        self._observer = observer
+        self._applier = SnapshotApplier(
+            settings, scheduler, state, self._config_watcher, evacuations, observer
+        )
         self._on_source_changed = on_source_changed
         self.source = Source.STORE
         self._reader: Peer | None = None
@@ -152,7 +154,7 @@
             self._share_at_interval()
             return
         if snapshot is not None:
-            self._add_peers(snapshot)
+            self._applier.add_peers(snapshot)
         self._ask_at_startup()
 
     def _is_recent(self, snapshot: Snapshot) -> bool:
@@ -344,67 +346,7 @@
     def _apply_snapshot(
         self, peer: Peer, snapshot: Snapshot, store_healthy_s: float | None
     ) -> None:
-        self._add_peers(snapshot)
-        self._apply_evacuations(peer, snapshot)
-        self._apply_config(peer, snapshot)
-        self._apply_listing(peer, snapshot, store_healthy_s)
-
-    def _add_peers(self, snapshot: Snapshot) -> None:
-        self._registry.add_all(
-            (Peer(address, zone) for address, zone in snapshot.peers),
-            self._scheduler.now_s(),
-        )
-
-    def _apply_evacuations(self, peer: Peer, snapshot: Snapshot) -> None:
-        """Apply evacuations of any age, since their position says what is newer."""
-        if snapshot.evacuations is not None and self._settings.has_evacuations:
-            self._evacuations.apply_state(
-                snapshot.evacuations, peer.address, self._requested_at_s
-            )
-
-    def _apply_config(self, peer: Peer, snapshot: Snapshot) -> None:
-        view = self._state.view
-        age_s = snapshot.config_age_s
-        if age_s is None or age_s > MAX_SNAPSHOT_AGE_S:
-            return
-        unconfirmed_s = view.age_s(self._scheduler.now_s())
-        if snapshot.config is not None and view.apply(snapshot.config):
-            self._observer.config_applied(view, f"peer {peer.address}", unconfirmed_s)
-        elif snapshot.config_version > view.version:
-            self._config_watcher.read_once(snapshot.config_version, peer.address)
-        # The age was true when the peer answered, at the earliest at the request.
-        confirmed_at_s = self._requested_at_s - age_s
-        is_newer = confirmed_at_s > (view.confirmed_at_s or float("-inf"))
-        if view.version == snapshot.config_version and is_newer:
-            view.confirm(confirmed_at_s)
-
-    def _apply_listing(
-        self, peer: Peer, snapshot: Snapshot, store_healthy_s: float | None
-    ) -> None:
-        directory = self._state.directory
-        age_s = snapshot.listing_age_s
-        if age_s is None or age_s > MAX_SNAPSHOT_AGE_S:
-            return
-        now_s = self._scheduler.now_s()
-        # The ages were true when the peer answered, at the earliest at the request.
-        waited_s = now_s - self._requested_at_s
-        age_s += waited_s
-        confirmed_age_s = snapshot.listing_confirmed_age_s
-        if confirmed_age_s is not None:
-            confirmed_age_s += waited_s
-        changes = None
-        if snapshot.listing_delta is not None:
-            listing = snapshot.listing_delta.apply_to(directory.listing)
-            if listing is not None:
-                changes = directory.apply(
-                    listing, now_s, store_healthy_s, age_s, confirmed_age_s
-                )
-                if changes is None:
-                    self._observer.listing_rejected(listing, f"peer {peer.address}")
-        elif directory.position == snapshot.directory_position:
-            changes = directory.confirm(now_s, store_healthy_s, age_s, confirmed_age_s)
-        if changes:
-            self._observer.directory_applied(changes, f"peer {peer.address}")
+        self._applier.apply(peer, snapshot, store_healthy_s, self._requested_at_s)
 
 
 def _decline_reason(snapshot: Snapshot | None) -> str:
--- a/src/wisteriatiller/steering/snapshotclient.py
+++ b/src/wisteriatiller/steering/snapshotclient.py
@@ -13,12 +13,8 @@
 
 from .peers import SnapshotClient
 from .settings import SteeringSettings
-from .snapshots import (
-    MAX_SNAPSHOT_BYTES,
-    Snapshot,
-    decode_snapshot,
-    encode_request,
-)
+from .snapshotrequests import encode_request
+from .snapshots import MAX_SNAPSHOT_BYTES, Snapshot, decode_snapshot
 
 SNAPSHOT_PATH = "/snapshot"
 
--- a/tests/steeringfakes.py
+++ b/tests/steeringfakes.py
@@ -17,12 +17,8 @@
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.sharedstate import SharedState
 from wisteriatiller.steering.sharing import ReadSharing
-from wisteriatiller.steering.snapshots import (
-    SnapshotEncoder,
-    decode_request,
-    decode_snapshot,
-    encode_request,
-)
+from wisteriatiller.steering.snapshotrequests import decode_request, encode_request
+from wisteriatiller.steering.snapshots import SnapshotEncoder, decode_snapshot
 from wisteriatiller.steering.storepolling import StateObserver
 
 PEER_DELAY_S = 0.003
--- a/tests/steps/listings_steps.py
+++ b/tests/steps/listings_steps.py
@@ -13,7 +13,7 @@
 from wisteriatiller.platform.store import ListingBuilder, PlatformStore
 from wisteriatiller.steering import Listing
 from wisteriatiller.steering.ports import ConfigRead
-from wisteriatiller.steering.snapshots import (
+from wisteriatiller.steering.snapshotrequests import (
     SnapshotRequest,
     decode_request,
     encode_request,
