Give each test process a loopback network of its own

Cause: cli.feature and hostsoak.feature used fixed addresses, so that two runs of one of them disturbed each other, and membership.feature took a port of 127.0.0.1 that another process could have taken for TCP before its use.

Change: addresses contain the number of the process. No check changes.

--- a/tests/hostsoak.py
+++ b/tests/hostsoak.py
@@ -35,6 +35,7 @@
     entry,
     route,
 )
+from tests.loopback import own_network
 
 CONFIG_KEY = "op/config"
 HOST_COUNT = 6
@@ -80,7 +81,7 @@
 
     def __init__(self, seed: int, directory: Path):
         self._rng = random.Random(seed)
-        subnet = f"127.{seed // 200 % 100 + 130}.{seed % 200 + 20}"
+        subnet = own_network(130 + seed % 100)
         self._subnet = subnet
         self._store = StandInStore(f"{subnet}.5")
         self._version = 0
--- a/tests/steps/cli_steps.py
+++ b/tests/steps/cli_steps.py
@@ -21,6 +21,7 @@
 from testbed.web import serve
 from tests import configurations
 from tests.fakes import FakeNetwork, StaticMembership, run_virtual
+from tests.loopback import own_network
 from wisteriatiller.foundation import logs
 from wisteriatiller.foundation.interfaces import EventLoopClock
 from wisteriatiller.foundation.logs import event_line
@@ -40,8 +41,8 @@
 from wisteriatiller.store.consul import ConsulStore
 from wisteriatiller.store.submission import CONFIG_KEY
 
-# Addresses of this feature alone, so that other features can run beside it.
-SUBNET = "127.77.4"
+# Other features, and other runs of this one, can run beside it.
+SUBNET = own_network(77)
 STORE = Address(f"{SUBNET}.200", 8500)
 SERVICE = ServiceId("stock-browser")
 
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import given as for_all, settings, strategies as st
 
 from tests.fakes import PEER_KEY, FakeNetwork, run_virtual
+from tests.loopback import own_network
 from wisteriatiller.configuration.settings import Seed
 from wisteriatiller.foundation.messages import _fields_by_type, encode
 from wisteriatiller.foundation.metrics import InMemoryMetrics
@@ -712,7 +713,8 @@
     metrics = InMemoryMetrics()
     template = FakeNetwork().environment(name, "z0", seeds=seeds)
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
+        # On 127.0.0.1 another process may have the port for TCP by the time of its use.
+        probe.bind((f"{own_network(78)}.1", 0))
         address = Address(*probe.getsockname())
     settings = replace(template.settings, peer_listen=address)
     peers = TcpPeerMessenger(settings, metrics)
