Doubt a listing that has lost all upstreams of one service

Cause: the doubt of a listing that lost all upstreams at once asked whether the listing held any upstream.

Ruled out: doubt by identity (none of the former entries is left) has the same gap, since the odd entry is one of them.

Change: the question is asked for each service.

Measured: the new scenario of directory.feature failed before ("upstream 1 is gone", expected uncertain; 21 of 22 passed). After it directory, steering, storerestore, readsharing, oddentries and listings: 118 scenarios passed, 0 failed.

--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -254,20 +254,22 @@
         return listing.position < self.listing.newest_position
 
     def _loses_all_upstreams(self, listing: Listing) -> bool:
-        """Whether a listing has none of several upstreams, some of them in use.
+        """Whether a listing has none of several upstreams of a service, some in use.
 
         Entries expire one by one and upstreams drain before they leave, so that it is
         more likely a fault of the listing. It is doubted as after a store outage.
         """
-        if listing.upstreams:
-            return False
-        listed = [
-            entry
-            for entry in self._entries.values()
-            if entry.presence is Presence.LISTED
-        ]
-        is_in_use = any(entry.takes_new_flows() for entry in listed)
-        return len(listed) >= MIN_DOUBTED_LOSS and is_in_use
+        remaining = {upstream.service for upstream in listing.upstreams}
+        lost: dict[ServiceId, list[DirectoryEntry]] = {}
+        for entry in self._entries.values():
+            service = entry.upstream.service
+            if entry.presence is Presence.LISTED and service not in remaining:
+                lost.setdefault(service, []).append(entry)
+        return any(
+            len(entries) >= MIN_DOUBTED_LOSS
+            and any(entry.takes_new_flows() for entry in entries)
+            for entries in lost.values()
+        )
 
     def _begin_epoch(self) -> None:
         """Doubt what is missing: it may have been written after the store's copy.
--- a/tests/directory.feature
+++ b/tests/directory.feature
@@ -114,6 +114,19 @@
     And upstream 1 is gone
     And upstream 1 does not count as one that has left
 
+  Scenario: A listing that has lost all upstreams of a service is doubted at first
+    # Guards against one entry of another writer, which stays, by which hosts believe that
+    # all other upstreams are gone.
+    Given a directory with upstreams 1, 2 and 3
+    And an entry of another writer, for a service that no route names
+    When upstream 1 drains
+    And only the other writer's entry is left and the store has been healthy for 10 seconds
+    Then upstream 1 is uncertain
+    And upstream 1 takes no new flows
+    And 2 upstreams take new flows
+    When the listing is confirmed 3 seconds later
+    Then upstream 2 is gone
+
   Scenario: A doubt of a listing without upstreams ends with the next one
     # Guards against a doubt that lasts, by which an upstream that leaves later keeps its
     # flows.
--- a/tests/steps/directory_steps.py
+++ b/tests/steps/directory_steps.py
@@ -34,6 +34,12 @@
     context.world = SteeringHarness(upstreams=context.upstreams.values())
 
 
+@given("an entry of another writer, for a service that no route names")
+def given_other_writer(context):
+    context.upstreams["odd"] = upstream("77", service="inventory")
+    context.world.apply_listing(*context.upstreams.values())
+
+
 @when("upstream {number:d} drains")
 def when_drains(context, number):
     draining = context.upstreams[number]._replace(state=UpstreamState.DRAINING)
@@ -133,6 +139,14 @@
     context.world.apply_listing(store_healthy_s=healthy_s)
 
 
+@when(
+    "only the other writer's entry is left and the store has been healthy for "
+    "{healthy_s:d} seconds"
+)
+def when_only_odd_left(context, healthy_s):
+    context.world.apply_listing(context.upstreams["odd"], store_healthy_s=healthy_s)
+
+
 @when("all upstreams drain")
 def when_all_drain(context):
     context.world.apply_listing(
