Divide warm-up limits among the zones of routed services only

Cause: the limit of a cold upstream is divided by the zones of all listed upstreams. One well-formed entry of another writer, of another zone and for a service that no route names, added a zone, so that callers could open 4 flows a second at the upstream in place of 7. PROTOCOL.md: such an entry names no backend to use, "the others hold".

Ruled out: rejecting entries of unknown zones when they are decoded, since hosts have no list of zones, and new zones come with their hosts.

Change: WarmupQuotas counts zones of known hosts and of upstreams whose service a route names, once for each question in place of once for each cold upstream.

--- a/src/wisteriatiller/steering/evidence/warmupquotas.py
+++ b/src/wisteriatiller/steering/evidence/warmupquotas.py
@@ -154,8 +154,9 @@
         cold = self._cold_entries(now_s)
         for tag in self._leases.keys() - cold.keys():
             del self._leases[tag]
+        other_zones = self._other_zone_count(known) if cold else 0
         return {
-            tag: self._grant(entry, warmup, host, known, now_s)
+            tag: self._grant(entry, warmup, host, other_zones, now_s)
             for tag, (entry, warmup) in cold.items()
         }
 
@@ -202,12 +203,12 @@
         entry: DirectoryEntry,
         warmup: WarmupSettings,
         host: Address,
-        known: KnownHosts,
+        other_zones: int,
         now_s: float,
     ) -> int:
         budget = zone_budget(
             flow_limit(self._settings, warmup),
-            self._other_zone_count(known),
+            other_zones,
             entry.upstream.zone == self._settings.zone,
         )
         wanted = self._part_of(host, entry.tag, self._target(entry, budget))
@@ -215,7 +216,12 @@
         return leases.grant(host, wanted, budget, now_s)
 
     def _other_zone_count(self, known: KnownHosts) -> int:
-        zones = {entry.upstream.zone for entry in self._directory.entries()}
+        """How many other zones have hosts, or upstreams that a route may use."""
+        zones = {
+            entry.upstream.zone
+            for entry in self._directory.entries()
+            if self._config.names_service(entry.upstream.service)
+        }
         return len((zones | known.other_zones) - {self._settings.zone})
 
     def _target(self, entry: DirectoryEntry, budget: int) -> int:
--- a/src/wisteriatiller/steering/routes.py
+++ b/src/wisteriatiller/steering/routes.py
@@ -112,6 +112,10 @@
         """How upstreams of a service warm up; None if nothing is configured."""
         return self._warmups.get(service)
 
+    def names_service(self, service: ServiceId) -> bool:
+        """Whether some route sends flows to the service."""
+        return service in self._top_priorities
+
     def is_most_urgent(self, route: Route, service: ServiceId) -> bool:
         """Whether no route that uses the service is more urgent than this one."""
         return route.priority <= self._top_priorities.get(service, route.priority)
--- a/tests/steps/warmup_steps.py
+++ b/tests/steps/warmup_steps.py
@@ -32,6 +32,11 @@
     ZoneFindings,
 )
 from wisteriatiller.steering.evidence.warmup import BEGIN_REASONS
+from wisteriatiller.steering.evidence.warmupquotas import (
+    Demand,
+    KnownHosts,
+    WarmupQuotas,
+)
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.steering import FlowSteering
 from wisteriatiller.steering.upstreams import upstream_tag
@@ -574,6 +579,57 @@
     assert names == {"i-warm"}, names
 
 
+class Lender:
+    """A reader with one follower that lends the flows of one cold upstream."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+        self.cold = upstream("cold", cold_for_ms=3_600_000)
+        self.directory, config = UpstreamDirectory(), ConfigView()
+        config.apply(warmup_config(flows_per_s=4.0))
+        settings = steering_settings(
+            uses_zone_findings=True, warmup_overage=1.25, warmup_slack_flows=2.0
+        )
+        self._own, self._follower = (Address("10.0.1.1", port) for port in (1, 2))
+        self._known = KnownHosts(2, frozenset())
+        self._quotas = WarmupQuotas(settings, self._own, self.directory, config)
+        self.directory.apply(make_listing(1, self.cold), self.now_s)
+
+    def lend(self):
+        """Return the flows that both hosts may open after ten seconds of reading."""
+        for _ in range(30):
+            self.now_s += COMPUTE_S
+            self._quotas.read(Demand({}, ()), self._known, self.now_s)
+            self._quotas.add_host(self._follower, self.now_s)
+            lent = [
+                self._quotas.quotas_of(host, self._known, self.now_s)
+                for host in (self._own, self._follower)
+            ]
+        tag = upstream_tag(self.cold.upstream_id)
+        return sum(quotas[tag] for quotas in lent)
+
+
+@given("a reader that lends the limit of 7 flows at a cold upstream of its only zone")
+def given_lender(context):
+    context.lender = Lender()
+    assert context.lender.lend() == 7
+
+
+@when(
+    "another writer leaves an entry of another zone for a service that no route names"
+)
+def when_odd_zone(context):
+    odd = upstream("77", service="inventory", zone="elsewhere")
+    listing = make_listing(2, context.lender.cold, odd)
+    context.lender.directory.apply(listing, context.lender.now_s)
+
+
+@then("the reader still lends 7 flows")
+def then_lends(context):
+    lent = context.lender.lend()
+    assert lent == 7, lent
+
+
 class LimitedFleet(SimulatedFleet):
     """Hosts with zone findings and a limit of 4 * 1.25 + 2 flows."""
 
--- a/tests/warmup.feature
+++ b/tests/warmup.feature
@@ -186,3 +186,10 @@
       | seeds |
       | 1     |
       | 6     |
+
+  Scenario: An entry for a service that no route names changes no quota
+    # Guards against one entry of another writer that halves what hosts may open at the
+    # cold upstreams of others, since its zone counts as one of the deployment.
+    Given a reader that lends the limit of 7 flows at a cold upstream of its only zone
+    When another writer leaves an entry of another zone for a service that no route names
+    Then the reader still lends 7 flows
