Let a host's own trials of limited upstreams wait for the reader

Cause: a host tried a suspect 1.0 s after its suspicion. The reader of a zone can name an upstream as down 1.0 s after its last progress, and its hosts know that up to 1.5 s later. Trials that fell between found an upstream that had returned cold, from many hosts at once.

Ruled out: one chosen host of the zone for such trials, since hosts do not know the same others.

Change: where a service sets warmup_per_s, a trial without a quota waits until the suspicion is 2.5 s old. Services without a limit are as before.

--- a/src/wisteriatiller/steering/evidence/outlierdetection.py
+++ b/src/wisteriatiller/steering/evidence/outlierdetection.py
@@ -51,6 +51,7 @@
         "_retransmissions",
         "_retransmitting_flows",
         "_returned_at_s",
+        "_suspected_at_s",
         "_trial_due_at_s",
         "last_progress_at_s",
         "state",
@@ -63,6 +64,7 @@
         self._retransmissions = 0
         self._last_retransmission_at_s = float("-inf")
         self._ejection_s = MIN_EJECTION_S
+        self._suspected_at_s = float("-inf")
         self._trial_due_at_s = 0.0
         self._returned_at_s = float("-inf")
         # Whether requests got no answer. Only an answer ends this suspicion: an
@@ -141,12 +143,17 @@
 
     def _suspect(self, now_s: float) -> None:
         self.state = HealthState.SUSPECT
+        self._suspected_at_s = now_s
         self._trial_due_at_s = now_s + self._ejection_s
 
     def retransmitting_flows(self) -> int:
         """The number of flows whose retransmissions count at present."""
         return len(self._retransmitting_flows)
 
+    def suspected_for_s(self, now_s: float) -> float:
+        """How long ago the last suspicion began; infinity if there was none."""
+        return now_s - self._suspected_at_s
+
     def is_trial_due(self, now_s: float) -> bool:
         """Whether a suspect may get one new flow as a trial."""
         return now_s >= self._trial_due_at_s
--- a/src/wisteriatiller/steering/selection/selector.py
+++ b/src/wisteriatiller/steering/selection/selector.py
@@ -91,7 +91,7 @@
         self._outliers = outliers
         self._entries = EntriesByZone(settings.zone)
         self._bursts = BurstDetector()
-        self._trials = TrialPolicy(settings.zone, outliers)
+        self._trials = TrialPolicy(settings.zone, outliers, warmup_limit)
         self._silent_trials = SilentTrials(settings, SilentVerdicts(findings, outliers))
         self._slow_start = SlowStart(settings, config, outliers, findings)
         self._warmup_limit = warmup_limit
--- a/src/wisteriatiller/steering/selection/warmuplimit.py
+++ b/src/wisteriatiller/steering/selection/warmuplimit.py
@@ -16,6 +16,10 @@
 from ..upstreams import Tag
 from .candidates import hash_fraction
 
+# The reader of a zone names an upstream as down after 1 s without progress, and its
+# hosts know that two exchanges and a computation later.
+MAX_NAMING_S = 2.5
+
 
 class WarmupLimit:
     """Counts the opening packets of this host at each cold upstream.
@@ -58,6 +62,20 @@
         quota = self._findings.warmup_quota(entry.tag, now_s)
         return self._recent_count(entry.tag, now_s) < quota
 
+    def allows_trial(
+        self, entry: DirectoryEntry, suspected_for_s: float, now_s: float
+    ) -> bool:
+        """Whether a suspect may get an opening packet as this host's own trial.
+
+        Before the reader can have named it as down, many hosts may suspect it at once,
+        and each of their trials may find it cold.
+        """
+        if not self._has_limit(entry.upstream.service):
+            return True
+        if self.is_limited(entry, now_s):
+            return self.allows(entry, now_s)
+        return suspected_for_s >= MAX_NAMING_S
+
     def pick_due(
         self, entries: Sequence[DirectoryEntry], flow: FlowKey, now_s: float
     ) -> DirectoryEntry | None:
--- a/tests/steps/warmup_steps.py
+++ b/tests/steps/warmup_steps.py
@@ -387,6 +387,26 @@
     )
 
 
+@given(
+    "{hosts:d} hosts in one zone with a limit of {limit:d} flows per second, times "
+    "{overage:g}, plus {slack:d}"
+)
+def given_one_zone(context, hosts, limit, overage, slack):
+    # The load of review/5: one request in a flow, 30 flows a second and upstream.
+    context.sizes = WarmupSizes(
+        zones="a",
+        hosts_per_zone=hosts,
+        upstreams_per_zone=8,
+        slots=8,
+        flows_per_s=240.0,
+        requests_per_flow=1.0,
+        limit_per_s=float(limit),
+        overage=overage,
+        slack_flows=float(slack),
+        warmup_s=5.0,
+    )
+
+
 def start_three(world):
     return [world.start_upstream("a", 10.0, 1.6) for _ in range(3)]
 
@@ -456,6 +476,21 @@
     return [upstream]
 
 
+@when("an upstream answers nobody for {down_s:g} s and returns cold, in {runs:d} runs")
+def when_short_outage(context, down_s, runs):
+    context.cold = []
+    for seed in range(1, runs + 1):
+        world = WarmupWorld(context.sizes, seed)
+        # Each outage begins at another moment between two exchanges.
+        world.run(10.0 + 0.13 * (seed % 7))
+        upstream = world.zone_upstreams("a")[0]
+        upstream.is_down = True
+        world.run(down_s)
+        world.restart_upstream(upstream, 5.0, 1.6, entry_delay_s=1.2)
+        world.run(8.0)
+        context.cold.append((seed, upstream))
+
+
 PATTERNS = {
     "an upstream answers nobody and returns cold": restart_pattern,
     "an upstream starts in steady load": steady_pattern,
