Accept 0 for the two parts of the warm-up limit

Cause: one method reads all numbers of the settings and rejects what is not above 0. A slack of 0 for cold upstreams means the same as a missing one, but no host started with it. The same method accepted nan and inf, since comparisons with nan are false.

Change: warmup_slack and warmup_overage may be 0; numbers that are not finite are rejected. Times and sizes must be above 0 as before.

--- a/src/wisteriatiller/platform/settingsfile.py
+++ b/src/wisteriatiller/platform/settingsfile.py
@@ -1,6 +1,7 @@
 """Decodes the settings file that the platform writes for each process."""
 
-from collections.abc import Mapping
+import math
+from collections.abc import Callable, Mapping
 
 from wisteriatiller.ids import Address, HostId, ZoneId
 from wisteriatiller.steering import SteeringSettings
@@ -61,8 +62,8 @@
         drain_bound_s=drain_bound_ms / 1000.0,
         uses_zone_findings=UNTRUSTED_HEALTH_POLICY in fields.texts("policies"),
         evacuation_bound_s=evacuation_bound_ms / 1000.0 or None,
-        warmup_overage=fields.number("bounds.warmup_overage", 1.0),
-        warmup_slack_flows=fields.number("bounds.warmup_slack", 0.0),
+        warmup_overage=fields.number_or_zero("bounds.warmup_overage", 1.0),
+        warmup_slack_flows=fields.number_or_zero("bounds.warmup_slack", 0.0),
     )
 
 
@@ -84,16 +85,12 @@
         return tuple(filter(None, self._values.get(name, "").split(",")))
 
     def number(self, name: str, default: float) -> float:
-        value = self._values.get(name, "")
-        if not value:
-            return default
-        try:
-            number = float(value)
-        except ValueError:
-            raise self._malformed(name, value, "a number") from None
-        if number <= 0:
-            raise self._malformed(name, value, "a number above 0")
-        return number
+        """Return a number above 0; the default if the field is missing."""
+        return self._number(name, default, lambda n: n > 0, "a number above 0")
+
+    def number_or_zero(self, name: str, default: float) -> float:
+        """Return a number of 0 or more; the default if the field is missing."""
+        return self._number(name, default, lambda n: n >= 0, "a number of 0 or more")
 
     def address(self, name: str) -> Address:
         return self._address(name, self.text(name))
@@ -105,6 +102,24 @@
         values = self._values.get(name, "").split(",")
         return tuple(self._address(name, value) for value in values if value)
 
+    def _number(
+        self,
+        name: str,
+        default: float,
+        is_allowed: Callable[[float], bool],
+        allowed: str,
+    ) -> float:
+        value = self._values.get(name, "")
+        if not value:
+            return default
+        try:
+            number = float(value)
+        except ValueError:
+            raise self._malformed(name, value, "a number") from None
+        if not math.isfinite(number) or not is_allowed(number):
+            raise self._malformed(name, value, allowed)
+        return number
+
     def _address(self, name: str, value: str) -> Address:
         try:
             return Address.parse(value)
--- a/tests/platformadapter.feature
+++ b/tests/platformadapter.feature
@@ -177,8 +177,20 @@
       | listen_addrs.ready_addr     | here       | listen_addrs.ready_addr: found 'here', expected IP:PORT |
       | bounds.grace_s              | soon       | bounds.grace_s: found 'soon', expected a number |
       | bounds.config_apply_ms      | 0          | bounds.config_apply_ms: found '0', expected a number above 0 |
+      | bounds.drain_timeout_ms     | nan        | bounds.drain_timeout_ms: found 'nan', expected a number above 0 |
+      | bounds.warmup_slack         | -1         | bounds.warmup_slack: found '-1', expected a number of 0 or more |
       | seeds                       | 1.2.3.4    | seeds: found '1.2.3.4', expected IP:PORT      |
 
+  Scenario Outline: A part of a limit may be 0
+    # Guards against a host that does not start because a bound of its site is 0.
+    Given settings in which <field> is 0
+    Then the settings have <name> 0
+
+    Examples:
+      | field                   | name               |
+      | bounds.warmup_slack     | warmup_slack_flows |
+      | bounds.warmup_overage   | warmup_overage     |
+
   Scenario Outline: The wait of a watch depends on the configuration bound
     # Incident config-quimper. Guards against a constant wait that exceeds the bound.
     Given settings in which bounds.config_apply_ms is <bound_ms>
--- a/tests/steps/platformadapter_steps.py
+++ b/tests/steps/platformadapter_steps.py
@@ -253,6 +253,12 @@
         raise AssertionError("the settings were accepted")
 
 
+@then("the settings have {name} {number:g}")
+def then_settings_have(context, name, number):
+    settings = decode_settings(parse_fields(context.settings), "boot.conf")
+    assert getattr(settings, name) == number, getattr(settings, name)
+
+
 @then("a watch waits for {wait_s:g} seconds at most")
 def then_watch_wait(context, wait_s):
     settings = decode_settings(parse_fields(context.settings), "boot.conf")
