Count listed upstreams only when a service has lost all of them

Change: the services in use are compared with those of the listing first; entries are counted only if one of them is missing.

--- a/src/wisteriatiller/steering/directory.py
+++ b/src/wisteriatiller/steering/directory.py
@@ -1,6 +1,6 @@
 """The directory of upstreams: the latest listing and the presence of each entry."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
@@ -259,17 +259,16 @@
         Entries expire one by one and upstreams drain before they leave, so that it is
         more likely a fault of the listing. It is doubted as after a store outage.
         """
-        remaining = {upstream.service for upstream in listing.upstreams}
-        lost: dict[ServiceId, list[DirectoryEntry]] = {}
-        for entry in self._entries.values():
-            service = entry.upstream.service
-            if entry.presence is Presence.LISTED and service not in remaining:
-                lost.setdefault(service, []).append(entry)
-        return any(
-            len(entries) >= MIN_DOUBTED_LOSS
-            and any(entry.takes_new_flows() for entry in entries)
-            for entries in lost.values()
+        in_use = self._by_service.keys() | self._evacuated_services
+        lost = in_use - {upstream.service for upstream in listing.upstreams}
+        if not lost:
+            return False
+        counts = Counter(
+            entry.upstream.service
+            for entry in self._entries.values()
+            if entry.presence is Presence.LISTED
         )
+        return any(counts[service] >= MIN_DOUBTED_LOSS for service in lost)
 
     def _begin_epoch(self) -> None:
         """Doubt what is missing: it may have been written after the store's copy.
