Say what a host did with packets that arrive before its stop

The step gave only the timeout, so that a crash of the host, an early stop and a stalled machine can't be told apart.

Change: the step reports the number, the exit status, errors and log of the host. What it asks is the same.

--- a/tests/steps/hostprocess_steps.py
+++ b/tests/steps/hostprocess_steps.py
@@ -255,8 +255,15 @@
 
 @then("the {count:d} packets reach the upstream")
 def then_packets_arrive(context, count):
-    for _ in range(count):
-        assert context.host.upstream.recv(2000).endswith(b"hello")
+    host = context.host
+    for arrived in range(count):
+        try:
+            data = host.upstream.recv(2000)
+        except TimeoutError:
+            status, errors = host.process.poll(), host.error_path.read_text()
+            log = host.log_path.read_text()[-2000:]
+            raise AssertionError((arrived, status, errors, log)) from None
+        assert data.endswith(b"hello"), data
 
 
 @when("the host is ready")
