Share what the new steps of limits and bounds repeat

A short outage was written beside restart_pattern, four patterns had one shape, drain and change_routes each had the same check of late hosts, the settings of the limit stood twice, and one constant was a copy of RECOMPUTE_INTERVAL_S.

Change: one piece of code each. Assertions, bounds, seeds and figures are the same.

--- a/tests/steps/drainbound_steps.py
+++ b/tests/steps/drainbound_steps.py
@@ -50,27 +50,29 @@
     def drain(self):
         """Let the upstream drain; note the hosts that do not know it in time."""
         self.put_upstream(UpstreamState.DRAINING)
-        drained_at_s = round(self.scheduler.now_s(), 2)
 
-        def check():
-            for host in self.others:
-                eligible = host.directory.eligible_entries("stock")
-                if any(entry.upstream.upstream_id == "i-1" for entry in eligible):
-                    self.late.append((self.seed, host.name, drained_at_s))
+        def is_late(host):
+            eligible = host.directory.eligible_entries("stock")
+            return any(entry.upstream.upstream_id == "i-1" for entry in eligible)
 
-        self.scheduler.call_later(DRAIN_BOUND_S, check)
+        self._note_late(DRAIN_BOUND_S, is_late)
 
     def change_routes(self):
         """Change the configuration; note the hosts that do not have it in time."""
         self.fleet.store.put_config(single_route_config(2))
+        self._note_late(CONFIG_BOUND_S, lambda host: host.view.version < 2)
+
+    def _note_late(self, bound_s, is_late):
         changed_at_s = round(self.scheduler.now_s(), 2)
 
         def check():
-            for host in self.others:
-                if host.view.version < 2:
-                    self.late.append((self.seed, host.name, changed_at_s))
+            self.late += [
+                (self.seed, host.name, changed_at_s)
+                for host in self.others
+                if is_late(host)
+            ]
 
-        self.scheduler.call_later(CONFIG_BOUND_S, check)
+        self.scheduler.call_later(bound_s, check)
 
     def disturb(self, count, fault):
         """Disturb the first hosts, which then need not keep the bound."""
--- a/tests/steps/warmuplimit_steps.py
+++ b/tests/steps/warmuplimit_steps.py
@@ -41,10 +41,6 @@
     )
 
 
-def start_three(world):
-    return [world.start_upstream("a", 10.0, 1.6) for _ in range(3)]
-
-
 def steady_pattern(world):
     return [world.start_upstream("a", 10.0, 1.6)]
 
@@ -57,20 +53,33 @@
     return started
 
 
-def power_pattern(world):
-    started = start_three(world)
+def disturb_while_cold(world, disturb, flows_per_host=3):
+    """Start three upstreams, disturb hosts 2 s later, and let clients reconnect."""
+    started = [world.start_upstream("a", 10.0, 1.6) for _ in range(3)]
     world.run(2.0)
-    world.restart_hosts()
-    world.reconnect(10)
+    disturb()
+    world.reconnect(flows_per_host)
     return started
 
 
+def power_pattern(world):
+    return disturb_while_cold(world, world.restart_hosts, flows_per_host=10)
+
+
 def cut_pattern(world):
-    started = start_three(world)
-    world.run(2.0)
-    world.cut_off("a")
-    world.reconnect(3)
-    return started
+    return disturb_while_cold(world, lambda: world.cut_off("a"))
+
+
+def joining_pattern(world):
+    def add_hosts():
+        for _ in range(10):
+            world.add_host("a")
+
+    return disturb_while_cold(world, add_hosts)
+
+
+def dying_pattern(world):
+    return disturb_while_cold(world, lambda: world.kill_reader("a"))
 
 
 def evacuation_pattern(world):
@@ -85,28 +94,11 @@
     return list(world.upstreams.values())
 
 
-def joining_pattern(world):
-    started = start_three(world)
-    world.run(2.0)
-    for _ in range(10):
-        world.add_host("a")
-    world.reconnect(3)
-    return started
-
-
-def dying_pattern(world):
-    started = start_three(world)
-    world.run(2.0)
-    world.kill_reader("a")
-    world.reconnect(3)
-    return started
-
-
-def restart_pattern(world):
+def restart_pattern(world, down_s=4.0, cold_s=6.0):
     upstream = world.zone_upstreams("a")[0]
     upstream.is_down = True
-    world.run(4.0)
-    world.restart_upstream(upstream, 6.0, 1.6, entry_delay_s=1.2)
+    world.run(down_s)
+    world.restart_upstream(upstream, cold_s, 1.6, entry_delay_s=1.2)
     return [upstream]
 
 
@@ -117,13 +109,10 @@
         world = WarmupWorld(context.sizes, seed)
         # Each outage begins at another moment between two exchanges.
         world.run(10.0 + 0.13 * (seed % 7))
-        upstream = world.zone_upstreams("a")[0]
-        upstream.is_down = True
-        world.run(down_s)
-        world.restart_upstream(upstream, 5.0, 1.6, entry_delay_s=1.2)
+        started = restart_pattern(world, down_s, cold_s=5.0)
         # It is cold for 5 s.
         world.run(6.0)
-        context.cold.append((seed, upstream))
+        context.cold += [(seed, upstream) for upstream in started]
 
 
 PATTERNS = {
--- a/tests/steps/warmupquotas_steps.py
+++ b/tests/steps/warmupquotas_steps.py
@@ -27,12 +27,17 @@
     KnownHosts,
     WarmupQuotas,
 )
+from wisteriatiller.steering.evidence.zoneevidence import RECOMPUTE_INTERVAL_S
 from wisteriatiller.steering.routes import ConfigView
 from wisteriatiller.steering.steering import FlowSteering
 from wisteriatiller.steering.upstreams import upstream_tag
 
-# Readers compute findings at this interval.
-COMPUTE_S = 0.3
+# A limit of 7 flows with 4 flows per second.
+LIMIT_SETTINGS = {
+    "uses_zone_findings": True,
+    "warmup_overage": 1.25,
+    "warmup_slack_flows": 2.0,
+}
 
 
 class LimitedHost:
@@ -106,9 +111,7 @@
         self.cold = upstream("cold", cold_for_ms=3_600_000)
         self.directory, config = UpstreamDirectory(), ConfigView()
         config.apply(warmup_config(flows_per_s=4.0))
-        settings = steering_settings(
-            uses_zone_findings=True, warmup_overage=1.25, warmup_slack_flows=2.0
-        )
+        settings = steering_settings(**LIMIT_SETTINGS)
         self._own, self._follower = (Address("10.0.1.1", port) for port in (1, 2))
         self._known = KnownHosts(2, frozenset())
         self._quotas = WarmupQuotas(settings, self._own, self.directory, config)
@@ -117,7 +120,7 @@
     def lend(self):
         """Return the flows that both hosts may open after ten seconds of reading."""
         for _ in range(30):
-            self.now_s += COMPUTE_S
+            self.now_s += RECOMPUTE_INTERVAL_S
             self._quotas.read(Demand({}, ()), self._known, self.now_s)
             self._quotas.add_host(self._follower, self.now_s)
             lent = [
@@ -153,13 +156,8 @@
     """Hosts with zone findings and a limit of 4 * 1.25 + 2 flows."""
 
     def host_settings(self, number, zone, seeds=()):
-        return (
-            super()
-            .host_settings(number, zone, seeds)
-            ._replace(
-                uses_zone_findings=True, warmup_overage=1.25, warmup_slack_flows=2.0
-            )
-        )
+        settings = super().host_settings(number, zone, seeds)
+        return settings._replace(**LIMIT_SETTINGS)
 
 
 class QuotaSum:
