Show resets of live flows after a backend starts again under its id

Cause: a host keeps 'has left' for an id until its own listing shows the new lifetime, and resets each flow with that id's tag until then. Another host has opened flows there already. The stand-ins are in review/parts.

--- /dev/null
+++ b/review/parts/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: store, routers, clients, backends and hosts."""
