Show resets of live flows of a draining backend that is slow to check in

Cause: a draining entry that the store removes is taken for a backend that has left, also if it was removed after three silent check-in intervals.

--- a/review/parts/world.py
+++ b/review/parts/world.py
@@ -122,6 +122,10 @@
             0.9, 1.1
         )
 
+    def hold_beats(self, backend: Backend, silence_s: float) -> None:
+        """Let a backend check in again only after some time."""
+        self._beat_at_s[backend] = time.monotonic() + silence_s
+
     def drain(self, backend: Backend) -> None:
         backend.life.state = "draining"
         self.beat(backend)
