--- a/review/parts/world.py
+++ b/review/parts/world.py
@@ -91,6 +91,8 @@
         self._selector.register(self.client_socket, selectors.EVENT_READ, None)
         self.backends: list[Backend] = []
         self._beat_at_s: dict[Backend, float] = {}
+        # What each entry holds beside its ``sequence``.
+        self._written: dict[str, dict] = {}
         self._actions: list = []
         self._version = 0
 
@@ -116,8 +118,13 @@
         self.beat(backend)
 
     def beat(self, backend: Backend) -> None:
+        """Check in: "The entry changes when more than `sequence` changes"."""
         key = f"servers/i-{backend.life.number:x}"
-        self.store.put(key, backend.entry(COLD_S))
+        entry = backend.entry(COLD_S)
+        content = {**entry, "sequence": 0}
+        if self._written.get(key) != content:
+            self._written[key] = content
+            self.store.put(key, entry)
         self._beat_at_s[backend] = time.monotonic() + HEARTBEAT_S * random.uniform(
             0.9, 1.1
         )
@@ -135,12 +142,17 @@
     def end(self, backend: Backend) -> None:
         """The backend has left: its entry is removed with its end."""
         backend.life.is_alive = False
-        self.store.remove(f"servers/i-{backend.life.number:x}")
+        self.expire(f"servers/i-{backend.life.number:x}")
         self.record.line(
             f"backend i-{backend.life.number:x} ended and removed, "
             f"{backend.life.runs} requests run"
         )
 
+    def expire(self, key: str) -> None:
+        """The store removes an entry, if it is there."""
+        if self._written.pop(key, None) is not None:
+            self.store.remove(key)
+
     def put_config(self, routes: list[dict]) -> None:
         self._version += random.randint(1, 3)
         names = sorted({route["service"] for route in routes})
