--- a/review/7/case.py
+++ b/review/7/case.py
@@ -24,7 +24,7 @@
 # Each release replaces a share of 0.45, two at a time with a gap of a second.
 RELEASES_AT_S = (6.0, 32.0, 58.0)
 RELEASED = int(0.45 * BACKENDS)
-SERVICE_IP, SERVICE_PORT = "198.18.0.1", 8443
+SERVICE_IP, SERVICE_PORT = "127.0.0.80", 8443
 FIRST_PORT = 20_000
 SEED = 7
 
