--- a/testbed/platformstandin.py
+++ b/testbed/platformstandin.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import random
 import struct
 import threading
 import time
@@ -57,6 +58,8 @@
         # How many items a page holds at most, and the paths whose calls fail.
         self.page_items = PAGE_ITEMS
         self.refused_paths: set[str] = set()
+        # How far the replicas are behind. Each page of a stale read is of one of them.
+        self.replica_lags_s: tuple[float, ...] = (0.0,)
         self.history_from = 0
         self.calls: list[str] = []
         self._revision = 1
@@ -65,6 +68,8 @@
         # Every write and removal, in order; a watch returns all that it has missed.
         self._events: list[dict] = []
         self._copies = [_Copy(time.monotonic(), self._revision, {}, 0)]
+        # The index of the first copy that replicas of the present epoch may show.
+        self._first_replica_copy = 0
         self._loop = asyncio.new_event_loop()
         self._changed: asyncio.Event | None = None
         started = threading.Event()
@@ -93,29 +98,21 @@
         self._thread.join()
 
     def item(self, key: str) -> dict | None:
-        if key not in self._items:
-            return None
-        value, revision = self._items[key]
-        return {
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-            "revision": revision,
-            "create_revision": revision,
-            "lease": 0,
-        }
+        return _item(key, self._items[key]) if key in self._items else None
 
-    def page(self, prefix: str, after: str) -> dict:
+    def page(self, prefix: str, after: str, is_stale: bool = False) -> dict:
+        copy = self._replica_copy() if is_stale else self._copies[-1]
         keys = sorted(
             (
                 key
-                for key in self._items
+                for key in copy.items
                 if key.startswith(prefix) and _key_bytes(key) > _key_bytes(after)
             ),
             key=_key_bytes,
         )
         items, size = [], 0
         for key in keys[: self.page_items]:
-            item = self.item(key)
+            item = _item(key, copy.items[key])
             size += len(item["value"])
             if items and size > MAX_PAGE_BYTES:
                 break
@@ -123,9 +120,16 @@
         return {
             "items": items,
             "truncated": len(items) < len(keys),
-            "store_revision": self._revision,
+            "store_revision": copy.revision,
         }
 
+    def _replica_copy(self) -> _Copy:
+        """What a replica holds that is one of the lags behind."""
+        visible_until_s = time.monotonic() - random.choice(self.replica_lags_s)
+        copies = self._copies[self._first_replica_copy :]
+        past = [copy for copy in copies if copy.taken_at_s <= visible_until_s]
+        return past[-1] if past else copies[0]
+
     async def wait_events(self, prefix: str, after: int, wait_s: float) -> dict | None:
         """Return the changes after a revision; None if the store has not had it."""
         end_s = self._loop.time() + wait_s
@@ -175,6 +179,7 @@
         self._revision = self._copies[-1].revision
         self._items = dict(self._copies[-1].items)
         del self._events[self._copies[-1].events :]
+        self._first_replica_copy = len(self._copies) - 1
         self.epoch += 1
         self._wake_watches()
 
@@ -271,7 +276,10 @@
 
 class _RangeHandler(_StoreHandler):
     async def answer(self):
-        page = self.store.page(self.value_of("prefix"), self.value_of("after"))
+        is_stale = self.value_of("serializable") == "1"
+        page = self.store.page(
+            self.value_of("prefix"), self.value_of("after"), is_stale
+        )
         await self.give(page)
 
 
@@ -288,6 +296,17 @@
             await self.give(events)
 
 
+def _item(key: str, stored: tuple[bytes, int]) -> dict:
+    value, revision = stored
+    return {
+        "key": key,
+        "value": base64.b64encode(value).decode(),
+        "revision": revision,
+        "create_revision": revision,
+        "lease": 0,
+    }
+
+
 def _key_bytes(key: str) -> bytes:
     return key.encode(errors="surrogateescape")
 
--- a/tests/hostsoak.py
+++ b/tests/hostsoak.py
@@ -10,8 +10,9 @@
 or garbles all calls or comes back from an older copy, upstreams drain, crash and hand
 their address to an upstream of another service, zones are evacuated and taken back, and
 the configuration changes. Clients send packets throughout, and each packet may go
-through any host. Exit status 1 means that a guarantee was violated: the line names it,
-and the logs are kept in the directory that is printed.
+through any host. The store lists upstreams in several pages, and with most seeds stale
+pages are of different ages. Exit status 1 means that a guarantee was violated: the line
+names it, and the logs are kept in the directory that is printed.
 """
 
 import argparse
@@ -66,6 +67,9 @@
 FAULT_LENGTH_S = (0.5, 3.0)
 CONFIG_DELAY_AFTER_STALL_S = (0.0, 1.0)
 ADDRESS_REUSE_DELAY_S = 2.0
+# What a page of the store holds, and how far the replicas for stale reads are behind.
+PAGE_ITEMS = 4
+REPLICA_LAGS_S = ((0.0,), (0.0, 5.0), (0.0, 0.5, 2.0, 5.0))
 # How old the copy is that the store is restored to, and how soon after that the
 # operator and the upstreams have written again what is lost.
 COPY_AGE_S = (1.0, 10.0)
@@ -84,6 +88,9 @@
         subnet = own_network(130 + seed % 100)
         self._subnet = subnet
         self._store = StandInStore(f"{subnet}.5")
+        self._store.page_items = PAGE_ITEMS
+        page_rng = random.Random(f"pages of {seed}")
+        self._store.replica_lags_s = page_rng.choice(REPLICA_LAGS_S)
         self._version = 0
         self._evacuated_at_s: float | None = None
         # Its own, so that the faults of a seed stay what they are.
--- a/tests/sharingdays.py
+++ b/tests/sharingdays.py
@@ -11,7 +11,8 @@
 partitioned from the store and from each other, and refused by the store. Connections to
 the store stall for good, and the store is unavailable, slow or loses its history. On
 request (``--faults all,restore``) it also comes back from an older copy. With
-``evacuate``, zones are evacuated and taken back, beside the faults.
+``evacuate``, zones are evacuated and taken back, beside the faults. On most days the
+pages of stale reads are of different ages, in any order.
 Configurations, some of them large, and upstream entries change throughout. A host that
 has been free of faults for SETTLE_S must know every version that is older than the
 bound, whichever host reads the store for it. Exit status 1 means that one did not.
@@ -48,6 +49,9 @@
 # operator and the upstreams have written again what is lost.
 RESTORE_AGE_S = (1.0, 12.0)
 MAX_REWRITE_DELAY_S = 1.0
+# Lags of the pages of stale reads, in turn, on the days of each kind.
+PAGE_LAGS_S = ((), (5.0, 0.0), (0.0, 5.0), (1.0, 5.0, 0.0), (3.0, 0.4, 0.0, 5.0, 0.0))
+PAGE_ENDS = (("i-1",), ("i-0", "i-1", "i-2"))
 # Stands for all kinds of faults but a restore, so that known seeds stay what they are.
 ALL_BUT_RESTORE = "all"
 EVACUATE = "evacuate"
@@ -74,6 +78,10 @@
             settings["evacuation_bound_s"] = EVACUATION_BOUND_S
         self.fleet = SimulatedFleet(self.scheduler, **settings)
         self._store = self.fleet.store
+        # Its own, so that the faults of a seed stay what they are.
+        page_rng = random.Random(f"pages of {seed}")
+        self._store.stale_page_lags_s = page_rng.choice(PAGE_LAGS_S)
+        self._store.page_ends = page_rng.choice(PAGE_ENDS)
         self._store.max_watch_routes = MAX_WATCH_CONFIGS * LARGE_CONFIG_ROUTES
         self._config_puts = []
         self._entry_puts = []
@@ -174,7 +182,7 @@
         self.scheduler.call_later(pause_s, self._publish_entries_repeatedly)
 
     def _publish_entry(self):
-        """Publish an entry whose slots are its version."""
+        """Publish two entries whose slots are their version."""
         version = len(self._entry_puts) + 1
         self._put_entries(version)
         if self.now_s >= self._store_unstable_until_s + SETTLE_S:
@@ -185,7 +193,9 @@
 
     def _put_entries(self, version):
         self._store.put_upstreams(
-            self.now_s, upstream("1", slots=version), upstream("2", zone="b")
+            self.now_s,
+            upstream("1", slots=version),
+            upstream("2", zone="b", slots=version),
         )
         self._keep_copy()
 
@@ -323,7 +333,7 @@
             copies = [copy for at_s, copy in self._copies if at_s <= taken_before_s]
             self._store.restore(copies[-1], self.now_s)
             if not keeps_leases:
-                self._store.put_upstreams(self.now_s, upstream("2", zone="b"))
+                self._store.put_upstreams(self.now_s, *self._store.upstreams[1:])
             self.scheduler.call_later(rewrite_delay_s, self._write_again)
 
         self.scheduler.call_later(length_s, restore)
@@ -422,9 +432,9 @@
 
 
 def _entry_version(host):
-    """The version of the published entry that a host knows; 0 if none."""
-    entry = host.directory.get("i-1")
-    return 0 if entry is None else entry.upstream.slots
+    """The version that a host knows of both published entries; 0 if none."""
+    entries = map(host.directory.get, ("i-1", "i-2"))
+    return min(0 if entry is None else entry.upstream.slots for entry in entries)
 
 
 def main():
