Tell the copies of an opening packet by their flow

Cause: an opening packet with a retransmit count above 0 was taken for a repeat of whatever flow the host remembered under the same addresses and ports, for up to 60 s, and sent to that flow's upstream without a look at the route or at the upstream's state.

Change: a copy belongs to a remembered flow only if its sequence number says so, also if another host has opened that flow; otherwise a new flow begins and inherits nothing. A copy of a flow that has opened, or was repeated within 150 ms, goes to the same upstream as before, and is dropped if that takes no new flows of the route any more. Packets after the opening are not judged by a former flow either: its repeats could reset a live flow.

--- a/src/wisteriatiller/steering/evidence/flowloss.py
+++ b/src/wisteriatiller/steering/evidence/flowloss.py
@@ -33,7 +33,7 @@
         """Return why the flow of a packet is lost; None if it may be answered."""
         if entry.presence is not Presence.GONE:
             return None
-        flow = self._flows.get(packet.flow, now_s)
+        flow = self._flows.peek_flow_of(packet)
         health = self._outliers.health_of(entry.upstream.upstream_id)
         evidence = LossEvidence(
             entry.upstream.upstream_id,
--- a/src/wisteriatiller/steering/flowresets.py
+++ b/src/wisteriatiller/steering/flowresets.py
@@ -66,7 +66,7 @@
         if packet.kind is not PacketKind.ESTABLISHED or not packet.payload_bytes:
             return None
         verdict = self._verdicts.verdict_on(entry, now_s)
-        flow = None if verdict is None else self._flows.peek(packet.flow)
+        flow = None if verdict is None else self._flows.peek_flow_of(packet)
         kind = None if flow is None else self._kind_of(flow)
         if kind is None or flow.state is FlowState.OPENING:
             return None
--- a/src/wisteriatiller/steering/flowtable.py
+++ b/src/wisteriatiller/steering/flowtable.py
@@ -11,9 +11,18 @@
 
 from wisteriatiller.ids import FlowKey, UpstreamId
 
-from .packets import SEQUENCE_RANGE
+from .packets import SEQUENCE_RANGE, Packet
 
 MAX_FLOWS = 100_000
+# A client gives up a flow that has not opened for 1.4 s. The rest covers packets that
+# wait on the way or in a socket buffer.
+MAX_OPENING_S = 2.5
+# What a client may have sent on a flow before a delayed copy of its opening packet
+# arrives: 16 packets of 1,200 bytes in flight, four times.
+MAX_EARLY_BYTES = 76_800
+# No flow sends more while another host steers it. Sequence numbers of a later flow with
+# the same key begin at random, so that few are as near.
+MAX_UNSEEN_BYTES = 1 << 24
 _HALF_RANGE = SEQUENCE_RANGE // 2
 
 
@@ -28,8 +37,10 @@
 class Flow:
     """The state of one flow.
 
-    ``next_sequence`` is the sequence number after all data that the client has sent,
-    the newest of it at ``sent_at_s``; None until the flow is open. ``repeats`` counts
+    ``opening_sequence`` is that of its opening packets; None if another host steered
+    them. ``first_sequence`` is that of the first packet seen. ``next_sequence`` is the
+    sequence number after all data that the client has sent, the newest of it at
+    ``sent_at_s``; None until the flow is open. ``repeats`` counts
     retransmissions since the client last acknowledged new data, and
     ``stalled_repeats`` those since the client last sent or acknowledged new data.
     ``tried`` holds the upstreams that left an opening packet unanswered.
@@ -38,6 +49,7 @@
     __slots__ = (
         "acknowledged",
         "asked_at_s",
+        "first_sequence",
         "key",
         "last_seen_s",
         "next_sequence",
@@ -51,8 +63,11 @@
         "upstream_id",
     )
 
-    def __init__(self, key: FlowKey, upstream_id: UpstreamId, now_s: float):
+    def __init__(
+        self, key: FlowKey, upstream_id: UpstreamId, first_sequence: int, now_s: float
+    ):
         self.key = key
+        self.first_sequence = first_sequence
         self.upstream_id = upstream_id
         self.state = FlowState.OPENING
         self.opened_at_s = now_s
@@ -67,6 +82,33 @@
         # Send time of the request that is still unanswered, if any.
         self.asked_at_s: float | None = None
 
+    def is_opened_by(self, packet: Packet, now_s: float) -> bool:
+        """Whether an opening packet repeats that of this flow.
+
+        If not, its client uses the port of this flow for a later one. Copies are told
+        by their sequence number: a first packet may be lost, so that a copy is the
+        first one of its flow that is seen. A flow that has closed, or has not opened in
+        time, has no more copies.
+        """
+        is_awaited = now_s - self.opened_at_s <= MAX_OPENING_S
+        if not is_awaited and self.state is not FlowState.OPEN:
+            return False
+        if self.opening_sequence is not None:
+            return packet.sequence == self.opening_sequence
+        early_bytes = (self.first_sequence - packet.sequence) % SEQUENCE_RANGE
+        return early_bytes <= MAX_EARLY_BYTES
+
+    def includes(self, packet: Packet) -> bool:
+        """Whether a packet that follows an opening belongs to this flow.
+
+        If not, another host has opened a later flow with the same key.
+        """
+        known = self.next_sequence
+        if known is None:
+            known = self.first_sequence
+        distance = (packet.sequence - known) % SEQUENCE_RANGE
+        return min(distance, SEQUENCE_RANGE - distance) <= MAX_UNSEEN_BYTES
+
     def has_pending_request(self, now_s: float, max_age_s: float) -> bool:
         """Whether a request that is not older than ``max_age_s`` has no answer yet."""
         is_asking = self.state is FlowState.OPEN and self.asked_at_s is not None
@@ -109,16 +151,22 @@
         """Return a flow, if it is known, without a change of its order or age."""
         return self._flows.get(key)
 
+    def peek_flow_of(self, packet: Packet) -> Flow | None:
+        """Return the flow that a packet after the opening belongs to, as ``peek``."""
+        flow = self._flows.get(packet.flow)
+        return flow if flow is not None and flow.includes(packet) else None
+
     def flows_of(self, upstream_ids: Collection[UpstreamId]) -> list[Flow]:
         """The flows of some upstreams; looks at every flow of the table."""
         return [
             flow for flow in self._flows.values() if flow.upstream_id in upstream_ids
         ]
 
-    def add(self, key: FlowKey, upstream_id: UpstreamId, now_s: float) -> Flow:
-        self.remove(key)
-        flow = Flow(key, upstream_id, now_s)
-        self._flows[key] = flow
+    def add(self, packet: Packet, upstream_id: UpstreamId, now_s: float) -> Flow:
+        """Add the flow of its first packet, in place of a former one with its key."""
+        self.remove(packet.flow)
+        flow = Flow(packet.flow, upstream_id, packet.sequence, now_s)
+        self._flows[packet.flow] = flow
         self._add_to_open_flow_count(upstream_id, 1)
         if len(self._flows) > self._max_flows:
             self.remove(next(iter(self._flows)))
--- a/src/wisteriatiller/steering/packets.py
+++ b/src/wisteriatiller/steering/packets.py
@@ -74,6 +74,8 @@
     WARMUP_LIMIT = "warmup_limit"
     # A repeated opening packet of a flow that may have opened in an evacuated zone.
     ZONE_EVACUATED = "zone_evacuated"
+    # The same at an upstream that leaves, or of a service that the route has left.
+    UPSTREAM_INELIGIBLE = "upstream_ineligible"
 
 
 class Forward(NamedTuple):
--- a/src/wisteriatiller/steering/steering.py
+++ b/src/wisteriatiller/steering/steering.py
@@ -173,15 +173,24 @@
         route = self._config.route(packet.service_address)
         if route is None:
             return self._reject_without_route(now_s)
-        flow = self.flows.get(packet.flow, now_s)
-        if flow is not None and not self._is_retransmission(flow, packet):
-            flow = None
+        flow = self._flow_of_opening(packet, now_s)
         if flow is not None and not self._has_opening_timed_out(flow, now_s):
-            return self._forward_to_same_upstream(flow, now_s)
+            return self._forward_to_same_upstream(flow, route, now_s)
         if flow is not None:
             self._record_missing_answer(flow, now_s, is_opening=True)
         return self._place_flow(packet, route, flow, now_s)
 
+    def _flow_of_opening(self, packet: Packet, now_s: float) -> Flow | None:
+        """The flow whose opening packet is repeated; None if a new flow begins.
+
+        A former flow with the same key is over then, and is forgotten.
+        """
+        flow = self.flows.get(packet.flow, now_s)
+        if flow is None or flow.is_opened_by(packet, now_s):
+            return flow
+        self.flows.remove(packet.flow)
+        return None
+
     def _report_unconfirmed_openings(self, now_s: float) -> None:
         """Record openings that the client did not follow up as upstream failures.
 
@@ -216,13 +225,6 @@
             ):
                 self._observer.upstream_suspected(flow.upstream_id, 1)
 
-    def _is_retransmission(self, flow: Flow, packet: Packet) -> bool:
-        """Whether an opening packet repeats that of a known flow.
-
-        If not, it opens a new flow under the same key.
-        """
-        return packet.retransmit_count > 0 or flow.opening_sequence == packet.sequence
-
     def _has_opening_timed_out(self, flow: Flow, now_s: float) -> bool:
         """Whether the flow is unopened although its last packet had time for an answer.
 
@@ -233,13 +235,23 @@
         is_opening = flow.state is FlowState.OPENING
         return is_opening and now_s - flow.sent_at_s >= MIN_RETRANSMIT_INTERVAL_S
 
-    def _forward_to_same_upstream(self, flow: Flow, now_s: float) -> Decision:
-        """Forward a retransmitted opening to the upstream of the previous one."""
+    def _forward_to_same_upstream(
+        self, flow: Flow, route: Route, now_s: float
+    ) -> Decision:
+        """Forward a repeated opening packet to the upstream of the previous one.
+
+        That one may have opened the flow, so the packet goes nowhere else. It may also
+        be the first one to arrive, so it is dropped if its upstream takes no new flows
+        of the route any more.
+        """
         entry = self._directory.get(flow.upstream_id)
         if entry is None:
             return Discard(DiscardReason.NO_STATE)
         if self._directory.is_evacuated(entry):
             return Discard(DiscardReason.ZONE_EVACUATED)
+        services = self._config.ranked_services(route, flow.key)
+        if entry.upstream.service not in services or not entry.takes_new_flows():
+            return Discard(DiscardReason.UPSTREAM_INELIGIBLE)
         # The previous packet may still be answered, so the flow is not refused.
         if not self.warmup_limit.allows(entry, now_s):
             return Discard(DiscardReason.WARMUP_LIMIT)
@@ -275,7 +287,7 @@
         self.warmup_limit.record(selection.entry, now_s)
         upstream_id = selection.entry.upstream.upstream_id
         if flow is None:
-            flow = self.flows.add(packet.flow, upstream_id, now_s)
+            flow = self.flows.add(packet, upstream_id, now_s)
         else:
             self.flows.reassign(flow, upstream_id)
             flow.tried = tried
@@ -336,10 +348,10 @@
         """Update the flow table and upstream health from a tagged packet."""
         upstream_id = entry.upstream.upstream_id
         flow = self.flows.get(packet.flow, now_s)
-        if flow is None:
+        if flow is None or not flow.includes(packet):
             if packet.kind is not PacketKind.ESTABLISHED:
                 return
-            flow = self.flows.add(packet.flow, upstream_id, now_s)
+            flow = self.flows.add(packet, upstream_id, now_s)
             flow.state = FlowState.OPEN
             self._store_sequence_numbers(flow, packet, now_s)
         elif flow.state is FlowState.OPENING:
--- a/tests/steps/silentupstreams_steps.py
+++ b/tests/steps/silentupstreams_steps.py
@@ -407,7 +407,7 @@
 def recorder_with_silent_flow(now_s):
     """A recorder that follows a request whose client has repeated it twice."""
     recorder = UpstreamRecorder(True)
-    flow = Flow(flow_key(1), UPSTREAM_ID, now_s)
+    flow = Flow(flow_key(1), UPSTREAM_ID, 1, now_s)
     flow.state = FlowState.OPEN
     flow.asked_at_s = now_s
     flow.last_seen_s = now_s + 0.6
--- a/tests/steps/zoneexchange_steps.py
+++ b/tests/steps/zoneexchange_steps.py
@@ -41,7 +41,7 @@
     zone = host.settings.zone
     targets = [zone] * OWN_REQUESTS + [next_zone(zone)] * NEXT_REQUESTS
     flows = [
-        Flow(flow_key(number), upstream_of(target), context.scheduler.now_s())
+        Flow(flow_key(number), upstream_of(target), 1, context.scheduler.now_s())
         for number, target in enumerate(targets)
     ]
     for flow in flows:
