Lose opening packets and use ports again in the soak

Three in a hundred opening packets are lost, and the ports of the soak's clients come back after about eight seconds. Packets and resets of a former flow of a port are told from those of the present one; a reset of an opening packet still counts against any flow.

--- a/testbed/flowends.py
+++ b/testbed/flowends.py
@@ -20,6 +20,11 @@
 # Packets of a flow come through another host with this chance.
 MOVE_CHANCE = 0.3
 INTENDED_BYTES = 8
+# So few that a port is used again some seconds after its former flow has ended.
+PORTS = range(1025, 1925)
+# A reset of an open flow is as near as this to what its client has acknowledged.
+RESET_WINDOW_BYTES = 76_800
+SEQUENCE_RANGE = 1 << 32
 
 
 class Finding(NamedTuple):
@@ -58,13 +63,23 @@
         self.host: FleetHost | None = None
         self.tag = 0
         self.sequence = random.randrange(1 << 31)
-        self.acknowledged = 0
+        self.acknowledged = random.randrange(1 << 31)
         # Whether the last request is not acknowledged yet.
         self.has_request = False
         self.next_at_s = now_s
         # Packets without their tag, with the time at which each was sent.
         self.sent: dict[bytes, float] = {}
 
+    def takes_reset(self, sequence: int) -> bool:
+        """Whether a reset may be meant for this flow, and not for a former one.
+
+        A flow that is not open takes any, and 0 is that of each opening packet.
+        """
+        distance = (sequence - self.acknowledged) % SEQUENCE_RANGE
+        distance = min(distance, SEQUENCE_RANGE - distance)
+        is_near = distance <= RESET_WINDOW_BYTES
+        return self.home is None or sequence == 0 or is_near
+
     def is_over(self, now_s: float) -> bool:
         age_s = now_s - self.begun_at_s
         limit_s = OPENING_LIMIT_S if self.home is None else FLOW_LENGTH_S
@@ -91,8 +106,14 @@
         self._fleet = fleet
         self._rng = rng
         self._client_ip = client_ip
-        self._next_port = 1024
+        self._port_index = 0
         self._flows: dict[str, ClientFlow] = {}
+        # What the former flow of each source has sent and may still be on its way.
+        self._former_sent: dict[str, dict[bytes, float]] = {}
+        # The share of opening packets that are lost on their way to a host.
+        self.lost_openings_share = 0.0
+        # Its own, so that the moves of a seed stay what they are.
+        self._loss_rng = random.Random(f"losses of {client_ip}")
         self._upstreams: dict[int, UpstreamEnd] = {}
         self.counts = Counts()
         self.findings: list[Finding] = []
@@ -114,9 +135,12 @@
         self._selector.close()
 
     def begin_flow(self) -> None:
-        self._next_port += 1
-        source = f"{self._client_ip}:{self._next_port}"
-        self._flows[source] = ClientFlow(source, time.monotonic())
+        """Begin a flow from the next port, unless its former flow still lasts."""
+        port = PORTS[self._port_index % len(PORTS)]
+        self._port_index += 1
+        source = f"{self._client_ip}:{port}"
+        if source not in self._flows:
+            self._flows[source] = ClientFlow(source, time.monotonic())
 
     def turn(self, wait_s: float) -> None:
         """Take what has come, send what is due."""
@@ -136,7 +160,7 @@
         """Clients leave the flows of an upstream that has ended."""
         for flow in list(self._flows.values()):
             if flow.home is upstream:
-                del self._flows[flow.source]
+                self._forget(flow)
 
     def _read(self, read_from: socket.socket, take) -> None:
         while True:
@@ -171,12 +195,16 @@
         flow.has_request = not flow.has_request
 
     def _end(self, flow: ClientFlow) -> None:
-        del self._flows[flow.source]
+        self._forget(flow)
         if flow.home is None:
             self.counts.failed += 1
         else:
             self._send(flow, FIN | ACK, flow.acknowledged)
 
+    def _forget(self, flow: ClientFlow) -> None:
+        del self._flows[flow.source]
+        self._former_sent[flow.source] = flow.sent
+
     def _send(
         self, flow: ClientFlow, flags: int, acknowledged: int, data: bytes = b""
     ) -> None:
@@ -190,6 +218,8 @@
             flow.source, SERVICE, flags, flow.tag, flow.sequence, acknowledged, data
         )
         flow.sent[packet[4:]] = time.monotonic()
+        if flags & SYN and self._loss_rng.random() < self.lost_openings_share:
+            return
         self._client.sendto(packet, (flow.host.ip, DATA_PORT))
 
     def _take(self, data: bytes, ip: str, upstream: UpstreamEnd) -> None:
@@ -202,6 +232,8 @@
         if flow is None:
             return
         sent_at_s = flow.sent.get(packet[4:])
+        if sent_at_s is None and packet[4:] in self._former_sent.get(flow.source, ()):
+            return
         if sent_at_s is None:
             self._find("unchanged packets", f"{flow.source} at i-{upstream.number:x}")
             return
@@ -223,19 +255,19 @@
         self.counts.arrived += 1
 
     def _take_reset(self, data: bytes, ip: str) -> None:
-        _, _, _, dst, dport, _, _, _, flags, _, _ = HEADER.unpack_from(data)
+        _, _, _, dst, dport, _, seq, _, flags, _, _ = HEADER.unpack_from(data)
         if not flags & RST:
             return
         source = f"{socket.inet_ntoa(dst.to_bytes(4, 'big'))}:{dport}"
         flow = self._flows.get(source)
-        if flow is None:
+        if flow is None or not flow.takes_reset(seq):
             return
         if flow.home is not None and flow.home.is_alive:
             upstream = f"i-{flow.home.number:x}"
             self._find("no reset of a live flow", f"{source} at {upstream} by {ip}")
         if flow.home is None:
             self.counts.failed += 1
-        del self._flows[source]
+        self._forget(flow)
 
     def _find(self, promise: str, detail: str) -> None:
         self.findings.append(Finding(promise, detail))
--- a/tests/hostsoak.py
+++ b/tests/hostsoak.py
@@ -10,9 +10,10 @@
 or garbles all calls or comes back from an older copy, upstreams drain, crash and hand
 their address to an upstream of another service, zones are evacuated and taken back, and
 the configuration changes. Clients send packets throughout, and each packet may go
-through any host. The store lists upstreams in several pages, and with most seeds stale
-pages are of different ages. Exit status 1 means that a guarantee was violated: the line
-names it, and the logs are kept in the directory that is printed.
+through any host. Some opening packets are lost, and clients use their ports again some
+seconds after a flow. The store lists upstreams in several pages, and with most seeds
+stale pages are of different ages. Exit status 1 means that a guarantee was violated:
+the line names it, and the logs are kept in the directory that is printed.
 """
 
 import argparse
@@ -70,6 +71,7 @@
 # What a page of the store holds, and how far the replicas for stale reads are behind.
 PAGE_ITEMS = 4
 REPLICA_LAGS_S = ((0.0,), (0.0, 5.0), (0.0, 0.5, 2.0, 5.0))
+LOST_OPENINGS_SHARE = 0.03
 # How old the copy is that the store is restored to, and how soon after that the
 # operator and the upstreams have written again what is lost.
 COPY_AGE_S = (1.0, 10.0)
@@ -110,6 +112,7 @@
         self.switch_service()
         self.fleet = HostFleet(subnet, HOST_COUNT, self._store.address, directory)
         self.ends = FlowEnds(self.fleet, f"{subnet}.200", self._rng)
+        self.ends.lost_openings_share = LOST_OPENINGS_SHARE
         self.ends.on_opening = self._check_opening_packet
         for service in SERVICES:
             for _ in range(UPSTREAMS_PER_SERVICE):
