--- a/tests/listinghosts.py
+++ b/tests/listinghosts.py
@@ -36,12 +36,14 @@
         entries = {name: upstream(name) for name in self._names}
         changes = self._changes if epoch == self.epoch else []
         for changed_at, name, kind in changes:
-            if kind == "joins":
-                entries[name] = upstream(name)
-            if changed_at <= revision and kind == "drains":
+            if changed_at > revision:
+                continue
+            if kind == "leaves":
+                del entries[name]
+            elif kind == "drains":
                 entries[name] = upstream(name, state=UpstreamState.DRAINING)
-            if (changed_at <= revision) == (kind == "leaves") and kind != "drains":
-                entries.pop(name, None)
+            else:
+                entries[name] = upstream(name)
         return entries
 
     def read(self, *pages, epoch=None):
