--- a/testbed/flowends.py
+++ b/testbed/flowends.py
@@ -9,6 +9,8 @@
 import time
 from typing import NamedTuple
 
+from wisteriatiller.steering.packets import SEQUENCE_RANGE
+
 from .hostfleet import DATA_PORT, FleetHost, HostFleet
 from .platformstandin import ACK, FIN, HEADER, RST, SYN, pack_packet
 from .steeringparts import COPY_TIMES_S, OPENING_LIMIT_S
@@ -24,7 +26,6 @@
 PORTS = range(1025, 1925)
 # A reset of an open flow is as near as this to what its client has acknowledged.
 RESET_WINDOW_BYTES = 76_800
-SEQUENCE_RANGE = 1 << 32
 
 
 class Finding(NamedTuple):
--- a/tests/steps/listingpages_steps.py
+++ b/tests/steps/listingpages_steps.py
@@ -7,6 +7,7 @@
 from tests.listinghosts import FIRST_REVISION, ListingHost, PagedStore
 from tests.manualstore import ManualStore
 from tests.steeringfakes import RecordingStateObserver
+from tests.steps.listings_steps import page
 from wisteriatiller.exceptions import MessageError
 from wisteriatiller.ids import NO_EPOCH, Revision, StoreEpoch, StorePosition
 from wisteriatiller.platform.operatorvalues import OperatorValuesBuilder
@@ -277,20 +278,15 @@
     check_histories()
 
 
-def page(revision, *keys, truncated=True):
-    items = [{"key": key, "value": ""} for key in keys]
-    return {"store_revision": revision, "items": items, "truncated": truncated}
-
-
 @given(
     "pages that end with {first_key} at revision {first:d}, {second_key} at "
     "{second:d} and none at {third:d}"
 )
 def given_pages(context, first_key, first, second_key, second, third):
     builder = ListingBuilder(is_current=False)
-    assert not builder.add_page(page(first, first_key.strip('"')))
-    assert not builder.add_page(page(second, second_key.strip('"')))
-    assert builder.add_page(page(third, truncated=False))
+    assert not builder.add_page(page(first_key.strip('"'), revision=first))
+    assert not builder.add_page(page(second_key.strip('"'), revision=second))
+    assert builder.add_page(page(truncated=False, revision=third))
     context.listing = builder.build()
 
 
@@ -312,8 +308,8 @@
 @given("pages of operators' values at revisions {first:d} and {second:d}")
 def given_operator_pages(context, first, second):
     builder = OperatorValuesBuilder()
-    builder.add_page(page(first, "op/evacuate/a"))
-    builder.add_page(page(second, truncated=False))
+    builder.add_page(page("op/evacuate/a", revision=first))
+    builder.add_page(page(truncated=False, revision=second))
     context.answer = builder.build()
 
 
--- a/tests/steps/listings_steps.py
+++ b/tests/steps/listings_steps.py
@@ -84,9 +84,9 @@
     assert answer.evacuations.zones == {"zone-a", "zone-b"}, answer
 
 
-def page(*keys, truncated=True):
+def page(*keys, truncated=True, revision=5):
     items = [{"key": key, "value": ""} for key in keys]
-    return {"store_revision": 5, "items": items, "truncated": truncated}
+    return {"store_revision": revision, "items": items, "truncated": truncated}
 
 
 @given("a page that ends with {last_key} and one that begins with {first_key}")
